--- /dev/null
+++ b/packages/bench/src/__tests__/wholePath.test.ts
@@ -0,0 +1,42 @@
+import {expect} from 'chai';
+import {loadXxHash} from '@godwitspring/proxy';
+import {MemoryFleet} from '../fleet/memoryFleet.ts';
+import {testDocument} from '../fleet/testDocument.ts';
+
+const settleMs = 12_000;
+
+describe('whole path in memory', () => {
+  it('answers a request of a known customer and refuses others', async () => {
+    const fleet = new MemoryFleet({
+      hostCount: 6,
+      document: testDocument(),
+      hash: await loadXxHash(),
+      seed: 1,
+    });
+    fleet.run(settleMs);
+    fleet.request('host-1', 'small');
+    fleet.request('host-2', 'stranger');
+    fleet.request('host-3', 'small', {path: '/none'});
+    fleet.request('host-4', 'stranger', {path: '/estado'});
+    fleet.run(1_000);
+    const ends = fleet.outcomes.map(({status, refusal}) => status ?? refusal);
+    expect(ends).to.have.members([200, 'key-unknown', 'no-route', 200]);
+  });
+
+  it('lets a customer of 2 requests/s with burst 4 through any mix of 48 hosts', async () => {
+    const fleet = new MemoryFleet({
+      hostCount: 48,
+      document: testDocument(),
+      hash: await loadXxHash(),
+      seed: 2,
+    });
+    fleet.run(settleMs);
+    for (let index = 0; index < 40; index += 1) {
+      fleet.after(index * 500, () =>
+        fleet.request(`host-${1 + ((index * 7) % 48)}`, 'small'),
+      );
+    }
+    fleet.run(21_000);
+    expect(fleet.outcomes.filter(({status}) => status === 200)).to.have.length(40);
+  });
+});
--- /dev/null
+++ b/packages/cli/src/checkFile.ts
@@ -0,0 +1,44 @@
+import {checkDocument, hostListSchema, parseSettings} from '@godwitspring/document';
+import type {Fault} from '@godwitspring/document';
+
+function parseJson(text: string): {value: unknown} | Fault {
+  try {
+    return {value: JSON.parse(text) as unknown};
+  } catch (cause) {
+    const message = `is not JSON: ${cause instanceof Error ? cause.message : String(cause)}`;
+    return {path: '(root)', value: 'text', message};
+  }
+}
+
+function isHostList(value: unknown): boolean {
+  return typeof value === 'object' && value !== null && 'hosts' in value;
+}
+
+/** Checks one file by its kind; gives every fault found. */
+export function checkFile(file: string, text: string | undefined): readonly Fault[] {
+  if (text === undefined) {
+    return [
+      {path: '(file)', value: file, message: 'cannot be read; check name and rights'},
+    ];
+  }
+  if (file.endsWith('.toml')) {
+    const parsed = parseSettings(text);
+    return parsed.isErr() ? parsed.error : [];
+  }
+  const parsed = parseJson(text);
+  if ('path' in parsed) {
+    return [parsed];
+  }
+  if (isHostList(parsed.value)) {
+    const list = hostListSchema.safeParse(parsed.value);
+    return list.success
+      ? []
+      : list.error.issues.map(({path, message}) => ({
+          path: path.map(String).join('.'),
+          value: 'host list',
+          message,
+        }));
+  }
+  const checked = checkDocument(parsed.value);
+  return checked.isErr() ? checked.error : [];
+}
--- /dev/null
+++ b/packages/cli/src/commands/checkCommand.ts
@@ -0,0 +1,46 @@
+import {readFile} from 'node:fs/promises';
+import {checkFile} from '../checkFile.ts';
+import {formatFault} from '@godwitspring/document';
+import {Command, Option} from 'clipanion';
+
+/** Checks documents, host lists and settings. */
+export class CheckCommand extends Command {
+  static override paths = [['check']];
+
+  static override usage = Command.Usage({
+    description: 'check documents, host lists and settings',
+    details: `
+      Settings are files that end in ".toml"; others are JSON. Every fault is listed with its path, what
+      is wrong, how to mend it and the value found.
+
+      Exit codes: 0 every file is good, 1 a file has a fault or cannot be read.
+    `,
+    examples: [['Check the examples', 'godwitspring check examples/*']],
+  });
+
+  files = Option.Rest({required: 1, name: 'FILE'});
+
+  override async execute(): Promise<number> {
+    let exitCode = 0;
+    for (const file of this.files) {
+      const faults = checkFile(file, await this.#read(file));
+      if (faults.length === 0) {
+        this.context.stdout.write(`${file}: ok\n`);
+        continue;
+      }
+      exitCode = 1;
+      for (const fault of faults) {
+        this.context.stderr.write(`${file}: ${formatFault(fault)}\n`);
+      }
+    }
+    return exitCode;
+  }
+
+  async #read(file: string): Promise<string | undefined> {
+    try {
+      return await readFile(file, 'utf8');
+    } catch {
+      return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/standinBackendServerCommand.ts
@@ -0,0 +1,99 @@
+import {readFile} from 'node:fs/promises';
+import {checkDocument} from '@godwitspring/document';
+import {splitAddress} from '@godwitspring/proxy';
+import {BackendServerStandin} from '@godwitspring/standins';
+import {Command, Option} from 'clipanion';
+import {untilStopped} from '../untilStopped.ts';
+
+/** Runs stand-ins of backend servers. */
+export class StandinBackendServerCommand extends Command {
+  static override paths = [['standin', 'backend-server']];
+
+  static override usage = Command.Usage({
+    description: 'run stand-ins of backend servers',
+    details: `
+      Runs one server with "--id" and "--listen", or every server of a document with "--document".
+      Change its behaviour with "PUT /-/behaviour"; "GET /-/report" tells what ran.
+
+      Exit codes: 0 stopped by a signal, 1 neither a server nor a good document was given.
+    `,
+    examples: [
+      [
+        'Run one server',
+        'godwitspring standin backend-server --id a-1 --listen 127.0.0.1:8081',
+      ],
+      [
+        'Run all servers of an example',
+        'godwitspring standin backend-server --document examples/tasas.document.json',
+      ],
+    ],
+  });
+
+  serverId = Option.String('--id', {description: 'id of the one server'});
+  listen = Option.String('--listen', {description: 'IP:port of the one server'});
+  document = Option.String('--document', {
+    description: 'document whose servers are all run, JSON',
+  });
+  serviceMs = Option.String('--service-ms', '2', {
+    description: 'time spent on a request, in ms',
+  });
+
+  override async execute(): Promise<number> {
+    const servers = await this.#servers();
+    if (servers.length === 0) {
+      this.context.stderr.write(
+        'give --id and --listen, or --document with a good document\n',
+      );
+      return 1;
+    }
+    for (const server of servers) {
+      await server.start();
+    }
+    this.context.stdout.write(
+      `${JSON.stringify({event: 'standin.started', servers: servers.length})}\n`,
+    );
+    await untilStopped();
+    for (const server of servers) {
+      server.stop();
+    }
+    return 0;
+  }
+
+  async #servers(): Promise<BackendServerStandin[]> {
+    const behaviour = {serviceMs: Number(this.serviceMs)};
+    if (this.serverId !== undefined && this.listen !== undefined) {
+      const {host, port} = splitAddress(this.listen);
+      const options = {
+        serverId: this.serverId,
+        listenHost: host,
+        listenPort: port,
+        behaviour,
+      };
+      return [new BackendServerStandin(options)];
+    }
+    if (this.document === undefined) {
+      return [];
+    }
+    const checked = checkDocument(JSON.parse(await readFile(this.document, 'utf8')));
+    if (checked.isErr()) {
+      return [];
+    }
+    const servers: BackendServerStandin[] = [];
+    for (const backend of checked.value.backends) {
+      for (const {id, origin} of backend.servers) {
+        const {hostname, port} = new URL(origin);
+        servers.push(
+          new BackendServerStandin({
+            serverId: id,
+            listenHost: hostname,
+            listenPort: Number(port),
+            slots: backend.slotsPerServer,
+            maxConnections: backend.connectionsPerServer,
+            behaviour,
+          }),
+        );
+      }
+    }
+    return servers;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/standinPlatformCommand.ts
@@ -0,0 +1,65 @@
+import {createHash} from 'node:crypto';
+import {readFile} from 'node:fs/promises';
+import {checkDocument, formatFault, hostListSchema} from '@godwitspring/document';
+import {splitAddress} from '@godwitspring/proxy';
+import {PlatformStandin} from '@godwitspring/standins';
+import {Command, Option} from 'clipanion';
+import {untilStopped} from '../untilStopped.ts';
+
+/** Runs the stand-in of the platform. */
+export class StandinPlatformCommand extends Command {
+  static override paths = [['standin', 'platform']];
+
+  static override usage = Command.Usage({
+    description: 'run a stand-in of the platform',
+    details: `
+      Serves a document and a list of hosts. Publish with "PUT /control/document" and
+      "PUT /control/hosts"; set faults with "PUT /control/faults"; counts are at "GET /control/counters".
+
+      Exit codes: 0 stopped by a signal, 1 a file is bad or the address is in use.
+    `,
+    examples: [
+      [
+        'Serve an example',
+        'godwitspring standin platform --listen 127.41.0.1:8500 --document examples/tasas.document.json --hosts examples/tasas.hosts.json',
+      ],
+    ],
+  });
+
+  listen = Option.String('--listen', {
+    required: true,
+    description: 'IP:port to serve on',
+  });
+  document = Option.String('--document', {
+    required: true,
+    description: 'document to publish first, JSON',
+  });
+  hosts = Option.String('--hosts', {
+    required: true,
+    description: 'list of hosts to publish first, JSON',
+  });
+
+  override async execute(): Promise<number> {
+    const checked = checkDocument(JSON.parse(await readFile(this.document, 'utf8')));
+    if (checked.isErr()) {
+      for (const fault of checked.error) {
+        this.context.stderr.write(`${this.document}: ${formatFault(fault)}\n`);
+      }
+      return 1;
+    }
+    const {hosts} = hostListSchema.parse(JSON.parse(await readFile(this.hosts, 'utf8')));
+    const {host, port} = splitAddress(this.listen);
+    const platform = new PlatformStandin({listenHost: host, listenPort: port});
+    platform.state.publish(checked.value, (text) =>
+      createHash('sha256').update(text).digest('hex'),
+    );
+    platform.state.publishHosts(hosts);
+    await platform.start();
+    this.context.stdout.write(
+      `${JSON.stringify({event: 'standin.started', listen: this.listen})}\n`,
+    );
+    await untilStopped();
+    platform.stop();
+    return 0;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/createCli.ts
@@ -0,0 +1,24 @@
+import {Builtins, Cli} from 'clipanion';
+import {CheckCommand} from './commands/checkCommand.ts';
+import {LoadCommand} from './commands/loadCommand.ts';
+import {ProxyCommand} from './commands/proxyCommand.ts';
+import {StandinBackendServerCommand} from './commands/standinBackendServerCommand.ts';
+import {StandinPlatformCommand} from './commands/standinPlatformCommand.ts';
+import {version} from './version.ts';
+
+/** Builds the command line. Exit codes: 0 done, 1 refused or failed, also for unknown flags. */
+export function createCli(): Cli {
+  const cli = new Cli({
+    binaryLabel: 'godwitspring',
+    binaryName: 'godwitspring',
+    binaryVersion: version,
+  });
+  cli.register(Builtins.HelpCommand);
+  cli.register(Builtins.VersionCommand);
+  cli.register(ProxyCommand);
+  cli.register(CheckCommand);
+  cli.register(LoadCommand);
+  cli.register(StandinPlatformCommand);
+  cli.register(StandinBackendServerCommand);
+  return cli;
+}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** Command line of the one binary. */
+export {createCli} from './createCli.ts';
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,3 @@
+import {createCli} from './createCli.ts';
+
+void createCli().runExit(process.argv.slice(2));
--- /dev/null
+++ b/packages/core/src/allowance/entryTask.ts
@@ -0,0 +1,322 @@
+import type {CoreTask} from '../host/coreTask.ts';
+import type {CoreMessage} from '../messages/coreMessage.ts';
+import type {PeerMessage, TokenAnswer, TokenAsk} from '../messages/peerMessages.ts';
+import {allowanceOptions} from './allowanceOptions.ts';
+import type {AllowanceOptions, RequiredAllowanceOptions} from './allowanceOptions.ts';
+import {CustomerDemand} from './customerDemand.ts';
+import {HomePlacement} from './homePlacement.ts';
+
+const timerId = 'entry.tick';
+const tickMs = 25;
+/** Wait for the answer of a home before it is asked again, in ms. */
+const askTimeoutMs = 150;
+/** Longest wait for a home that does not answer or cannot judge yet, in ms. */
+const patienceMs = 1_500;
+/** Shortest dry spell for which requests are refused; shorter ones are waited out, in ms. */
+const waitOutMs = 40;
+
+interface PendingAsk {
+  readonly customerId: string;
+  readonly homeId: string;
+  readonly askedAtMs: number;
+}
+
+/** Entry side of the customers' rates: fetches tokens from the homes and spends one on each request. */
+export class EntryTask implements CoreTask {
+  readonly accepts = [
+    'permitForeseen',
+    'permitWanted',
+    'requestWithdrawn',
+    'membershipChanged',
+    'freshUntil',
+    'peerMessageReceived',
+    'timerFired',
+  ] as const;
+
+  readonly #options: AllowanceOptions;
+  readonly #placement: HomePlacement;
+  readonly #demands = new Map<string, CustomerDemand>();
+  readonly #customerByRequest = new Map<number, string>();
+  readonly #pendingAsks = new Map<number, PendingAsk>();
+  readonly #reports = new Map<string, TokenAsk['settled']>();
+  #freshUntilMs = Number.NEGATIVE_INFINITY;
+  #nextAskId = 1;
+  #isTicking = false;
+
+  constructor(options: Partial<AllowanceOptions> & RequiredAllowanceOptions) {
+    this.#options = allowanceOptions(options);
+    this.#placement = new HomePlacement(this.#options.hash, this.#options.bucketCount);
+  }
+
+  receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
+    switch (message.type) {
+      case 'permitForeseen':
+        return this.#onForeseen(message.requestId, message.customerId, nowMs);
+      case 'permitWanted':
+        return this.#onWanted(message.requestId, message.customerId, nowMs);
+      case 'requestWithdrawn':
+        return this.#onWithdrawn(message.requestId, nowMs);
+      case 'membershipChanged':
+        this.#placement.place(message.reachableHostIds);
+        return [];
+      case 'freshUntil':
+        this.#freshUntilMs = message.untilMs;
+        return [];
+      case 'peerMessageReceived':
+        return message.message.type === 'tokenAnswer'
+          ? this.#onAnswer(message.fromHostId, message.message, nowMs)
+          : [];
+      case 'timerFired':
+        return message.timerId === timerId ? this.#onTick(nowMs) : [];
+      default:
+        return [];
+    }
+  }
+
+  #demandOf(customerId: string): CustomerDemand {
+    let demand = this.#demands.get(customerId);
+    if (demand === undefined) {
+      demand = new CustomerDemand();
+      this.#demands.set(customerId, demand);
+    }
+    return demand;
+  }
+
+  #onForeseen(
+    requestId: number,
+    customerId: string,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    const demand = this.#demandOf(customerId);
+    demand.noteArrival(nowMs);
+    const retryAfterMs = demand.dryUntilMs - nowMs;
+    if (retryAfterMs > waitOutMs && demand.available(nowMs) === 0) {
+      return [{type: 'permitRefused', requestId, kind: 'rate-limited', retryAfterMs}];
+    }
+    demand.expected.add(requestId);
+    this.#customerByRequest.set(requestId, customerId);
+    return [...this.#askIfShort(customerId, demand, nowMs), ...this.#armTimer(nowMs)];
+  }
+
+  #onWanted(
+    requestId: number,
+    customerId: string,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    const demand = this.#demandOf(customerId);
+    demand.expected.delete(requestId);
+    demand.waiting.set(requestId, nowMs);
+    this.#customerByRequest.set(requestId, customerId);
+    return [
+      ...this.#serve(customerId, demand, nowMs),
+      ...this.#askIfShort(customerId, demand, nowMs),
+      ...this.#armTimer(nowMs),
+    ];
+  }
+
+  #onWithdrawn(requestId: number, nowMs: number): readonly CoreMessage[] {
+    const customerId = this.#customerByRequest.get(requestId);
+    if (customerId === undefined) {
+      return [];
+    }
+    const demand = this.#demandOf(customerId);
+    demand.expected.delete(requestId);
+    demand.waiting.delete(requestId);
+    this.#customerByRequest.delete(requestId);
+    return this.#armTimer(nowMs);
+  }
+
+  /** Spends tokens on waiting requests, the longest wait first. */
+  #serve(
+    customerId: string,
+    demand: CustomerDemand,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    const messages: CoreMessage[] = [];
+    if (nowMs > this.#freshUntilMs) {
+      return messages;
+    }
+    for (const requestId of demand.waiting.keys()) {
+      const usableUntilMs = demand.use(nowMs);
+      if (usableUntilMs === undefined) {
+        break;
+      }
+      demand.waiting.delete(requestId);
+      this.#customerByRequest.delete(requestId);
+      const tags = {customer: customerId};
+      messages.push(
+        {type: 'permitGranted', requestId, usableUntilMs},
+        {type: 'count', name: 'permit.granted', tags},
+      );
+    }
+    this.#collectReports(demand, nowMs);
+    return messages;
+  }
+
+  #collectReports(demand: CustomerDemand, nowMs: number): void {
+    for (const {homeId, grantId, used} of demand.takeSettled(nowMs)) {
+      const reports = this.#reports.get(homeId) ?? [];
+      reports.push({grantId, used});
+      this.#reports.set(homeId, reports);
+    }
+  }
+
+  #askIfShort(
+    customerId: string,
+    demand: CustomerDemand,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    if (demand.pendingAskId !== undefined || nowMs < demand.dryUntilMs) {
+      return [];
+    }
+    const available = demand.available(nowMs);
+    const now = Math.max(0, demand.expected.size + demand.waiting.size - available);
+    const expectedAhead = demand.expectedAhead(nowMs);
+    const spare = Math.max(0, available - demand.expected.size - demand.waiting.size);
+    const isRunningLow = expectedAhead > 0 && spare * 2 < expectedAhead;
+    if (now === 0 && !isRunningLow) {
+      return [];
+    }
+    const homeId = this.#placement.homeOf(this.#placement.bucketOf(customerId));
+    if (homeId === undefined) {
+      return [];
+    }
+    const askId = this.#nextAskId;
+    this.#nextAskId += 1;
+    demand.pendingAskId = askId;
+    this.#pendingAsks.set(askId, {customerId, homeId, askedAtMs: nowMs});
+    const wants = [{customerId, now, ahead: Math.max(0, expectedAhead - spare)}];
+    return [this.#sendAsk(homeId, askId, wants)];
+  }
+
+  #sendAsk(homeId: string, askId: number, wants: TokenAsk['wants']): CoreMessage {
+    const settled = this.#reports.get(homeId) ?? [];
+    this.#reports.delete(homeId);
+    const message: PeerMessage = {type: 'tokenAsk', askId, wants, settled};
+    return {type: 'sendToPeer', toHostId: homeId, message};
+  }
+
+  #onAnswer(
+    fromHostId: string,
+    {askId, grants}: TokenAnswer,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    const ask = this.#pendingAsks.get(askId);
+    if (ask?.homeId !== fromHostId) {
+      return [];
+    }
+    this.#pendingAsks.delete(askId);
+    const messages: CoreMessage[] = [];
+    for (const grant of grants) {
+      const demand = this.#demands.get(grant.customerId);
+      if (demand === undefined) {
+        continue;
+      }
+      if (demand.pendingAskId === askId) {
+        demand.pendingAskId = undefined;
+      }
+      demand.hold(fromHostId, grant, ask.askedAtMs);
+      messages.push(...this.#serve(grant.customerId, demand, nowMs));
+      messages.push(...this.#onShortfall(grant, demand, nowMs));
+    }
+    messages.push(...this.#armTimer(nowMs));
+    return messages;
+  }
+
+  #onShortfall(
+    {customerId, retryAfterMs, isSettled}: TokenAnswer['grants'][number],
+    demand: CustomerDemand,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    if (retryAfterMs === undefined && isSettled) {
+      return this.#askIfShort(customerId, demand, nowMs);
+    }
+    if (!isSettled) {
+      demand.dryUntilMs = nowMs + tickMs;
+      return [];
+    }
+    const dryMs = retryAfterMs ?? 0;
+    demand.dryUntilMs = nowMs + dryMs;
+    return dryMs > waitOutMs ? this.#refuseUncovered(demand, dryMs, nowMs) : [];
+  }
+
+  /** Refuses the requests for which there is no token now. */
+  #refuseUncovered(
+    demand: CustomerDemand,
+    retryAfterMs: number,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    const messages: CoreMessage[] = [];
+    const covered = demand.available(nowMs);
+    const requestIds = [...demand.waiting.keys(), ...demand.expected].slice(covered);
+    for (const requestId of requestIds) {
+      demand.waiting.delete(requestId);
+      demand.expected.delete(requestId);
+      this.#customerByRequest.delete(requestId);
+      messages.push({
+        type: 'permitRefused',
+        requestId,
+        kind: 'rate-limited',
+        retryAfterMs,
+      });
+    }
+    return messages;
+  }
+
+  #armTimer(nowMs: number): readonly CoreMessage[] {
+    if (this.#isTicking || this.#demands.size === 0) {
+      return [];
+    }
+    this.#isTicking = true;
+    return [{type: 'timerWanted', timerId, atMs: nowMs + tickMs}];
+  }
+
+  #onTick(nowMs: number): readonly CoreMessage[] {
+    this.#isTicking = false;
+    const messages: CoreMessage[] = [];
+    this.#forgetLateAsks(nowMs);
+    for (const [customerId, demand] of this.#demands) {
+      messages.push(...this.#serve(customerId, demand, nowMs));
+      messages.push(...this.#refuseImpatient(demand, nowMs));
+      messages.push(...this.#askIfShort(customerId, demand, nowMs));
+      if (demand.isIdle(nowMs) && demand.expectedAhead(nowMs) === 0) {
+        this.#demands.delete(customerId);
+      }
+    }
+    messages.push(...this.#sendReports(), ...this.#armTimer(nowMs));
+    return messages;
+  }
+
+  #forgetLateAsks(nowMs: number): void {
+    for (const [askId, {customerId, askedAtMs}] of this.#pendingAsks) {
+      if (nowMs - askedAtMs < askTimeoutMs) {
+        continue;
+      }
+      this.#pendingAsks.delete(askId);
+      const demand = this.#demands.get(customerId);
+      if (demand?.pendingAskId === askId) {
+        demand.pendingAskId = undefined;
+      }
+    }
+  }
+
+  #refuseImpatient(demand: CustomerDemand, nowMs: number): readonly CoreMessage[] {
+    const messages: CoreMessage[] = [];
+    for (const [requestId, sinceMs] of demand.waiting) {
+      if (nowMs - sinceMs >= patienceMs) {
+        demand.waiting.delete(requestId);
+        this.#customerByRequest.delete(requestId);
+        messages.push({type: 'permitRefused', requestId, kind: 'allowance-unavailable'});
+      }
+    }
+    return messages;
+  }
+
+  #sendReports(): readonly CoreMessage[] {
+    const messages: CoreMessage[] = [];
+    for (const homeId of this.#reports.keys()) {
+      messages.push(this.#sendAsk(homeId, 0, []));
+    }
+    return messages;
+  }
+}
--- /dev/null
+++ b/packages/core/src/allowance/homeTask.ts
@@ -0,0 +1,379 @@
+import type {Customer, FleetDocument, HostList} from '@godwitspring/document';
+import type {CoreTask} from '../host/coreTask.ts';
+import type {CoreMessage} from '../messages/coreMessage.ts';
+import type {
+  LoanAnswer,
+  PeerMessage,
+  TokenAnswer,
+  TokenAsk,
+} from '../messages/peerMessages.ts';
+import type {MembershipChanged} from '../messages/hostMessages.ts';
+import {allowanceOptions} from './allowanceOptions.ts';
+import type {AllowanceOptions, RequiredAllowanceOptions} from './allowanceOptions.ts';
+import {BucketStock} from './bucketStock.ts';
+import {HomePlacement} from './homePlacement.ts';
+
+const timerId = 'home.tick';
+const tickMs = 100;
+/** Part of the reachable shares that a home must hold to judge a customer. */
+const settledPart = 0.9;
+/** Time for which stock handed over waits for the shares that cover it, in ms. */
+const handoverWaitMs = 1_000;
+const maxPendingAsks = 4_096;
+const maxHandovers = 64;
+
+interface PendingLoanAsk {
+  readonly lenderId: string;
+  readonly askedAtMs: number;
+}
+
+interface Handover {
+  readonly stock: readonly {customerId: string; tokens: number}[];
+  readonly applyByMs: number;
+}
+
+interface Bucket {
+  readonly stock: BucketStock;
+  /** Set while the home hands nothing out and waits for the last grants to end. */
+  drainingSinceMs: number | undefined;
+  askedAtMs: number;
+}
+
+/**
+ * Home of some buckets of customers: borrows the shares of all hosts and hands tokens to the entry
+ * hosts that have demand.
+ *
+ * A loan is counted from the ask and ends early enough for the longest grant, so that no token lives
+ * longer than the share it came from.
+ */
+export class HomeTask implements CoreTask {
+  readonly accepts = [
+    'documentInForce',
+    'membershipChanged',
+    'freshUntil',
+    'peerMessageReceived',
+    'timerFired',
+    'shutdownWanted',
+  ] as const;
+
+  readonly #options: AllowanceOptions;
+  readonly #placement: HomePlacement;
+  readonly #buckets = new Map<number, Bucket>();
+  readonly #pendingAsks = new Map<number, PendingLoanAsk>();
+  readonly #heardNonceByLender = new Map<string, number>();
+  readonly #grantCustomers = new Map<number, string>();
+  readonly #handovers: Handover[] = [];
+  readonly #seenHandovers = new Set<string>();
+  #customersByBucket = new Map<number, Customer[]>();
+  #list: HostList | undefined;
+  #reachableHostIds: readonly string[] = [];
+  #ownShare = 0;
+  #freshUntilMs = Number.NEGATIVE_INFINITY;
+  #nextNonce = 1;
+  #nextGrantId = 1;
+  #isLeaving = false;
+  #isTicking = false;
+
+  constructor(options: Partial<AllowanceOptions> & RequiredAllowanceOptions) {
+    this.#options = allowanceOptions(options);
+    this.#placement = new HomePlacement(this.#options.hash, this.#options.bucketCount);
+  }
+
+  receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
+    switch (message.type) {
+      case 'documentInForce':
+        return this.#onDocument(message.document, nowMs);
+      case 'membershipChanged':
+        return this.#onMembership(message, nowMs);
+      case 'freshUntil':
+        this.#freshUntilMs = message.untilMs;
+        return [];
+      case 'peerMessageReceived':
+        return this.#onPeer(message.fromHostId, message.message, nowMs);
+      case 'timerFired':
+        return message.timerId === timerId ? this.#onTick(nowMs) : [];
+      case 'shutdownWanted':
+        this.#isLeaving = true;
+        return this.#reviseBuckets(nowMs);
+      default:
+        return [];
+    }
+  }
+
+  #onDocument(document: FleetDocument, nowMs: number): readonly CoreMessage[] {
+    this.#customersByBucket = new Map();
+    for (const customer of document.customers) {
+      const bucket = this.#placement.bucketOf(customer.id);
+      const customers = this.#customersByBucket.get(bucket) ?? [];
+      customers.push(customer);
+      this.#customersByBucket.set(bucket, customers);
+    }
+    for (const [bucket, {stock}] of this.#buckets) {
+      stock.replaceCustomers(this.#customersByBucket.get(bucket) ?? [], nowMs);
+    }
+    return [];
+  }
+
+  #onMembership(message: MembershipChanged, nowMs: number): readonly CoreMessage[] {
+    this.#list = message.list;
+    this.#ownShare = message.ownShare;
+    this.#reachableHostIds = message.reachableHostIds;
+    this.#placement.place(message.reachableHostIds);
+    const messages: CoreMessage[] = [...this.#reviseBuckets(nowMs)];
+    if (!this.#isTicking) {
+      this.#isTicking = true;
+      messages.push({type: 'timerWanted', timerId, atMs: nowMs + tickMs});
+    }
+    return messages;
+  }
+
+  /** Takes up the buckets that fell to this host and starts to give up those that did not. */
+  #reviseBuckets(nowMs: number): readonly CoreMessage[] {
+    const mine = new Set(
+      this.#isLeaving ? [] : this.#placement.bucketsOf(this.#options.selfId),
+    );
+    const taken: number[] = [];
+    for (const bucket of mine) {
+      const known = this.#buckets.get(bucket);
+      if (known !== undefined) {
+        known.drainingSinceMs = undefined;
+        continue;
+      }
+      this.#takeUp(bucket, nowMs);
+      taken.push(bucket);
+    }
+    for (const [bucket, state] of this.#buckets) {
+      if (!mine.has(bucket)) {
+        state.drainingSinceMs ??= nowMs;
+      }
+    }
+    return taken.length === 0 ? [] : this.#askLoans(taken, nowMs);
+  }
+
+  #takeUp(bucket: number, nowMs: number): void {
+    const {minGrantLifeMs, maxGrantLifeMs, bounds} = this.#options;
+    const options = {minGrantLifeMs, maxGrantLifeMs, clockDrift: bounds.clockDrift};
+    const stock = new BucketStock(
+      this.#customersByBucket.get(bucket) ?? [],
+      options,
+      nowMs,
+    );
+    this.#buckets.set(bucket, {stock, drainingSinceMs: undefined, askedAtMs: nowMs});
+  }
+
+  #askLoans(buckets: readonly number[], nowMs: number): readonly CoreMessage[] {
+    const messages: CoreMessage[] = [];
+    for (const bucket of buckets) {
+      const state = this.#buckets.get(bucket);
+      if (state !== undefined) {
+        state.askedAtMs = nowMs;
+      }
+    }
+    for (const {id} of this.#list?.hosts ?? []) {
+      const nonce = this.#nextNonce;
+      this.#nextNonce += 1;
+      this.#pendingAsks.set(nonce, {lenderId: id, askedAtMs: nowMs});
+      const heardNonce = this.#heardNonceByLender.get(id) ?? 0;
+      const message: PeerMessage = {
+        type: 'loanAsk',
+        nonce,
+        heardNonce,
+        buckets: [...buckets],
+      };
+      messages.push({type: 'sendToPeer', toHostId: id, message});
+    }
+    for (const oldNonce of this.#pendingAsks.keys()) {
+      if (this.#pendingAsks.size <= maxPendingAsks) {
+        break;
+      }
+      this.#pendingAsks.delete(oldNonce);
+    }
+    return messages;
+  }
+
+  #onPeer(
+    fromHostId: string,
+    message: PeerMessage,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    switch (message.type) {
+      case 'loanAnswer':
+        this.#onLoans(fromHostId, message, nowMs);
+        return [];
+      case 'tokenAsk':
+        return this.#onTokenAsk(fromHostId, message, nowMs);
+      case 'stockHandover':
+        this.#onHandover(message.handoverId, message.stock, nowMs);
+        return [];
+      default:
+        return [];
+    }
+  }
+
+  #onLoans(fromHostId: string, {nonce, share, loans}: LoanAnswer, nowMs: number): void {
+    const ask = this.#pendingAsks.get(nonce);
+    this.#pendingAsks.delete(nonce);
+    if (ask?.lenderId !== fromHostId) {
+      return;
+    }
+    const {loanLeaseMs, clockDrift} = this.#options.bounds;
+    const heldMs = loanLeaseMs - this.#options.maxGrantLifeMs * (1 + 2 * clockDrift);
+    const endsAtMs = ask.askedAtMs + heldMs;
+    if (endsAtMs <= nowMs) {
+      return;
+    }
+    const heard = this.#heardNonceByLender.get(fromHostId) ?? 0;
+    this.#heardNonceByLender.set(fromHostId, Math.max(heard, nonce));
+    for (const {bucket, idleMs} of loans) {
+      this.#buckets
+        .get(bucket)
+        ?.stock.hold({lenderId: fromHostId, share, endsAtMs, idleMs}, nowMs);
+    }
+  }
+
+  #onTokenAsk(fromHostId: string, ask: TokenAsk, nowMs: number): readonly CoreMessage[] {
+    for (const {grantId, used} of ask.settled) {
+      this.#onReport(grantId, used, nowMs);
+    }
+    const grants: TokenAnswer['grants'] = [];
+    for (const want of ask.wants) {
+      grants.push(this.#grant(want, nowMs));
+    }
+    if (grants.length === 0) {
+      return [];
+    }
+    const message: TokenAnswer = {type: 'tokenAnswer', askId: ask.askId, grants};
+    return [{type: 'sendToPeer', toHostId: fromHostId, message}];
+  }
+
+  #onReport(grantId: number, used: number, nowMs: number): void {
+    const customerId = this.#grantCustomers.get(grantId);
+    if (customerId === undefined) {
+      return;
+    }
+    this.#grantCustomers.delete(grantId);
+    const bucket = this.#buckets.get(this.#placement.bucketOf(customerId));
+    bucket?.stock.report(customerId, grantId, used, nowMs);
+  }
+
+  #grant(want: TokenAsk['wants'][number], nowMs: number): TokenAnswer['grants'][number] {
+    const {customerId} = want;
+    const grantId = this.#nextGrantId;
+    this.#nextGrantId += 1;
+    const nothing = {customerId, grantId, count: 0, lifeMs: 0, isSettled: false};
+    const bucket = this.#buckets.get(this.#placement.bucketOf(customerId));
+    const mayGrant = nowMs <= this.#freshUntilMs && bucket?.drainingSinceMs === undefined;
+    if (bucket === undefined || !mayGrant) {
+      return nothing;
+    }
+    const offer = bucket.stock.grant(grantId, want, nowMs);
+    if (offer === undefined) {
+      return nothing;
+    }
+    if (offer.count > 0) {
+      this.#grantCustomers.set(grantId, customerId);
+      this.#forgetOldGrants();
+    }
+    return {customerId, grantId, isSettled: this.#isSettled(bucket), ...offer};
+  }
+
+  /** Reports on grants that are far older than their life are of no more use. */
+  #forgetOldGrants(): void {
+    for (const grantId of this.#grantCustomers.keys()) {
+      if (this.#grantCustomers.size <= maxPendingAsks) {
+        return;
+      }
+      this.#grantCustomers.delete(grantId);
+    }
+  }
+
+  #isSettled({stock}: Bucket): boolean {
+    return stock.share >= settledPart * this.#ownShare * this.#reachableHostIds.length;
+  }
+
+  #onHandover(
+    handoverId: string,
+    stock: readonly {customerId: string; tokens: number}[],
+    nowMs: number,
+  ): void {
+    if (this.#seenHandovers.has(handoverId)) {
+      return;
+    }
+    this.#seenHandovers.add(handoverId);
+    if (this.#handovers.length < maxHandovers) {
+      this.#handovers.push({stock, applyByMs: nowMs + handoverWaitMs});
+    }
+  }
+
+  #onTick(nowMs: number): readonly CoreMessage[] {
+    const messages: CoreMessage[] = [
+      {type: 'timerWanted', timerId, atMs: nowMs + tickMs},
+    ];
+    const due: number[] = [];
+    for (const [bucket, state] of this.#buckets) {
+      state.stock.advance(nowMs);
+      if (state.drainingSinceMs !== undefined) {
+        messages.push(...this.#giveUpIfDrained(bucket, state, nowMs));
+        continue;
+      }
+      const intervalMs = this.#isSettled(state)
+        ? this.#options.renewIntervalMs
+        : 2 * tickMs;
+      if (nowMs - state.askedAtMs >= intervalMs) {
+        due.push(bucket);
+      }
+    }
+    if (due.length > 0) {
+      messages.push(...this.#askLoans(due, nowMs));
+    }
+    this.#applyHandovers(nowMs);
+    return messages;
+  }
+
+  #giveUpIfDrained(
+    bucket: number,
+    {stock}: Bucket,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    if (stock.hasOutstanding(nowMs)) {
+      return [];
+    }
+    const messages: CoreMessage[] = [];
+    const taken = stock.takeStock(nowMs);
+    const successorId = this.#placement.homeOf(bucket);
+    this.#buckets.delete(bucket);
+    for (const lenderId of stock.loans.lenderIds) {
+      const message: PeerMessage = {type: 'loanReturn', buckets: [bucket]};
+      messages.push({type: 'sendToPeer', toHostId: lenderId, message});
+    }
+    if (
+      successorId !== undefined &&
+      successorId !== this.#options.selfId &&
+      taken.length > 0
+    ) {
+      const handoverId = `${this.#options.selfId}:${nowMs}:${bucket}`;
+      const message: PeerMessage = {type: 'stockHandover', handoverId, stock: taken};
+      messages.push({type: 'sendToPeer', toHostId: successorId, message});
+    }
+    return messages;
+  }
+
+  /** Takes over handed stock once this home holds the shares that cover it. */
+  #applyHandovers(nowMs: number): void {
+    const waiting = this.#handovers.splice(0);
+    for (const handover of waiting) {
+      const isCovered = handover.stock.every(({customerId}) => {
+        const bucket = this.#buckets.get(this.#placement.bucketOf(customerId));
+        return bucket !== undefined && this.#isSettled(bucket);
+      });
+      if (!isCovered && nowMs < handover.applyByMs) {
+        this.#handovers.push(handover);
+        continue;
+      }
+      for (const {customerId, tokens} of handover.stock) {
+        const bucket = this.#buckets.get(this.#placement.bucketOf(customerId));
+        bucket?.stock.addStock(customerId, tokens, nowMs);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/host/hostCore.ts
@@ -0,0 +1,88 @@
+import {EntryTask} from '../allowance/entryTask.ts';
+import {HomeTask} from '../allowance/homeTask.ts';
+import {LenderTask} from '../allowance/lenderTask.ts';
+import {ConfigurationTask} from '../configuration/configurationTask.ts';
+import {DEFAULT_LEASE_BOUNDS} from '../membership/membershipOptions.ts';
+import type {LeaseBounds} from '../membership/membershipOptions.ts';
+import {MembershipTask} from '../membership/membershipTask.ts';
+import type {HostEffect, HostEvent} from '../messages/coreMessage.ts';
+import {RequestTask} from '../request/requestTask.ts';
+import {LeastLoadedOfTwo} from '../routing/leastLoadedOfTwo.ts';
+import type {ServerChoice} from '../routing/serverChoice.ts';
+import {ServerPoolTask} from '../routing/serverPoolTask.ts';
+import type {HashFunction} from '../time/hashFunction.ts';
+import type {RandomSource} from '../time/randomSource.ts';
+import type {CoreTask} from './coreTask.ts';
+import {MessageRouter} from './messageRouter.ts';
+
+export interface HostCoreOptions {
+  /** Stable name of this host, as the platform lists it. */
+  readonly selfId: string;
+  /** Data centre in which this host stands. */
+  readonly dataCentre: string;
+  readonly random: RandomSource;
+  readonly hash: HashFunction;
+  readonly bounds: LeaseBounds;
+  /** How a server is chosen. Default: the least loaded of two. */
+  readonly choice: ServerChoice;
+  /** Tasks that decide on customers' rates. Default: lender, home and entry side of delegated shares. */
+  readonly allowanceTasks: readonly CoreTask[];
+}
+
+export type RequiredHostCoreOptions = Pick<
+  HostCoreOptions,
+  'selfId' | 'dataCentre' | 'random' | 'hash'
+>;
+
+/**
+ * All decisions of one host.
+ *
+ * Takes events with the moment at which they happened and gives the effects that follow; the same
+ * events at the same moments with the same seed give the same effects.
+ */
+export class HostCore {
+  readonly #selfId: string;
+  readonly #router: MessageRouter;
+
+  constructor({
+    selfId,
+    random,
+    hash,
+    bounds = DEFAULT_LEASE_BOUNDS,
+    choice = new LeastLoadedOfTwo(random),
+    allowanceTasks = [
+      new LenderTask({selfId, hash, bounds}),
+      new HomeTask({selfId, hash, bounds}),
+      new EntryTask({selfId, hash, bounds}),
+    ],
+  }: Partial<HostCoreOptions> & RequiredHostCoreOptions) {
+    this.#selfId = selfId;
+    this.#router = new MessageRouter([
+      new ConfigurationTask({random}),
+      new MembershipTask({selfId, random, bounds}),
+      ...allowanceTasks,
+      new ServerPoolTask({choice}),
+      new RequestTask(),
+    ]);
+  }
+
+  /** Takes one event at a moment of the host's own clock, in ms. */
+  handle(event: HostEvent, nowMs: number): HostEffect[] {
+    const effects: HostEffect[] = [];
+    const events: HostEvent[] = [event];
+    for (const next of events) {
+      for (const effect of this.#router.deliver(next, nowMs)) {
+        if (effect.type === 'sendToPeer' && effect.toHostId === this.#selfId) {
+          events.push({
+            type: 'peerMessageReceived',
+            fromHostId: this.#selfId,
+            message: effect.message,
+          });
+          continue;
+        }
+        effects.push(effect);
+      }
+    }
+    return effects;
+  }
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,34 @@
+/** Decisions of a host, without input or output. */
+export {HostCore} from './host/hostCore.ts';
+export type {HostCoreOptions, RequiredHostCoreOptions} from './host/hostCore.ts';
+export type {CoreTask} from './host/coreTask.ts';
+export {
+  hostEventSchema,
+  hostEffectSchema,
+  taskMessageSchema,
+} from './messages/coreMessage.ts';
+export type {
+  CoreMessage,
+  HostEffect,
+  HostEvent,
+  TaskMessage,
+} from './messages/coreMessage.ts';
+export {peerMessageSchema} from './messages/peerMessages.ts';
+export type {PeerMessage} from './messages/peerMessages.ts';
+export type {
+  AttemptFailure,
+  RefuseRequest,
+  RequestArrived,
+  StartAttempt,
+} from './messages/requestMessages.ts';
+export type {SendProbe} from './messages/hostMessages.ts';
+export {answerTable} from './errors/answerTable.ts';
+export type {ErrorAnswer} from './errors/answerTable.ts';
+export {errorKindSchema} from './errors/errorKinds.ts';
+export type {ErrorKind, Outcome} from './errors/errorKinds.ts';
+export {SeededRandom} from './time/seededRandom.ts';
+export type {RandomSource} from './time/randomSource.ts';
+export type {HashFunction} from './time/hashFunction.ts';
+export {DEFAULT_LEASE_BOUNDS, retirementMs} from './membership/membershipOptions.ts';
+export type {LeaseBounds} from './membership/membershipOptions.ts';
+export type {ServerCandidate, ServerChoice} from './routing/serverChoice.ts';
--- /dev/null
+++ b/packages/core/src/messages/coreMessage.ts
@@ -0,0 +1,71 @@
+import {z} from 'zod';
+import * as host from './hostMessages.ts';
+import * as request from './requestMessages.ts';
+
+/** What the surroundings tell the core. */
+export const hostEventSchema = z.discriminatedUnion('type', [
+  request.requestArrivedSchema,
+  request.attemptAnsweredSchema,
+  request.attemptFailedSchema,
+  request.attemptFinishedSchema,
+  request.callerLeftSchema,
+  host.hostListReadSchema,
+  host.manifestReadSchema,
+  host.manifestUnchangedSchema,
+  host.partReadSchema,
+  host.partUnavailableSchema,
+  host.peerMessageReceivedSchema,
+  host.timerFiredSchema,
+  host.shutdownWantedSchema,
+  host.probeAnsweredSchema,
+  host.statusWantedSchema,
+]);
+
+/** What the core asks of its surroundings. */
+export const hostEffectSchema = z.discriminatedUnion('type', [
+  request.startAttemptSchema,
+  request.deliverAnswerSchema,
+  request.discardAnswerSchema,
+  request.cancelAttemptSchema,
+  request.refuseRequestSchema,
+  host.readPartSchema,
+  host.sendToPeerSchema,
+  host.linkPeersSchema,
+  host.timerWantedSchema,
+  host.sendProbeSchema,
+  host.countSchema,
+  host.logSchema,
+  host.statusToldSchema,
+]);
+
+/** What the tasks of the core tell each other. */
+export const taskMessageSchema = z.discriminatedUnion('type', [
+  request.permitForeseenSchema,
+  request.permitWantedSchema,
+  request.permitGrantedSchema,
+  request.permitRefusedSchema,
+  request.serverWantedSchema,
+  request.serverGrantedSchema,
+  request.serverRefusedSchema,
+  request.serverReleasedSchema,
+  request.requestWithdrawnSchema,
+  host.documentInForceSchema,
+  host.membershipChangedSchema,
+  host.freshUntilSchema,
+  host.manifestConfirmedSchema,
+]);
+
+export type HostEvent = z.infer<typeof hostEventSchema>;
+export type HostEffect = z.infer<typeof hostEffectSchema>;
+export type TaskMessage = z.infer<typeof taskMessageSchema>;
+export type CoreMessage = HostEvent | HostEffect | TaskMessage;
+export type CoreMessageType = CoreMessage['type'];
+
+const effectTypes: ReadonlySet<string> = new Set(
+  hostEffectSchema.options.map((option) => option.shape.type.value),
+);
+
+/** Tells whether a message is meant for the surroundings of the core. */
+export function isEffect(message: CoreMessage): message is HostEffect {
+  return effectTypes.has(message.type);
+}
--- /dev/null
+++ b/packages/core/src/messages/hostMessages.ts
@@ -0,0 +1,151 @@
+import {z} from 'zod';
+import {documentSchema, hostListSchema, manifestSchema} from '@godwitspring/document';
+import {peerMessageSchema} from './peerMessages.ts';
+
+/** The platform answered a read of the host list that was asked at `askedAtMs`. */
+export const hostListReadSchema = z.object({
+  type: z.literal('hostListRead'),
+  list: hostListSchema,
+  askedAtMs: z.number(),
+});
+
+/** The platform answered a read of the manifest that was asked at `askedAtMs`. */
+export const manifestReadSchema = z.object({
+  type: z.literal('manifestRead'),
+  manifest: manifestSchema,
+  askedAtMs: z.number(),
+});
+
+/** The platform answered that the manifest of `version` is still the newest. */
+export const manifestUnchangedSchema = z.object({
+  type: z.literal('manifestUnchanged'),
+  version: z.number().int(),
+  askedAtMs: z.number(),
+});
+
+/** A part arrived; its digest was verified. */
+export const partReadSchema = z.object({
+  type: z.literal('partRead'),
+  sha256: z.string(),
+  text: z.string(),
+});
+
+export const partUnavailableSchema = z.object({
+  type: z.literal('partUnavailable'),
+  sha256: z.string(),
+});
+
+export const peerMessageReceivedSchema = z.object({
+  type: z.literal('peerMessageReceived'),
+  fromHostId: z.string(),
+  message: peerMessageSchema,
+});
+
+export const timerFiredSchema = z.object({
+  type: z.literal('timerFired'),
+  timerId: z.string(),
+});
+
+export const shutdownWantedSchema = z.object({type: z.literal('shutdownWanted')});
+
+/** A new version of the document is in force on this host. */
+export const documentInForceSchema = z.object({
+  type: z.literal('documentInForce'),
+  document: documentSchema,
+  manifest: manifestSchema,
+});
+
+/** The lists that bound what this host may use, and how long it may act on them. */
+export const membershipChangedSchema = z.object({
+  type: z.literal('membershipChanged'),
+  /** Newest list known. */
+  list: hostListSchema,
+  /** Share of every fleet-wide allowance that belongs to this host, 0 to 1. */
+  ownShare: z.number(),
+  /** Hosts heard of lately, on which homes may be placed. */
+  reachableHostIds: z.array(z.string()),
+});
+
+/** This host may act on its view until the given moment on its own clock. */
+export const freshUntilSchema = z.object({
+  type: z.literal('freshUntil'),
+  untilMs: z.number(),
+});
+
+export const readPartSchema = z.object({
+  type: z.literal('readPart'),
+  sha256: z.string(),
+  /** Host to ask; absent to ask the platform. */
+  fromHostId: z.string().optional(),
+});
+
+export const sendToPeerSchema = z.object({
+  type: z.literal('sendToPeer'),
+  toHostId: z.string(),
+  message: peerMessageSchema,
+});
+
+/** The hosts to which links are kept. */
+export const linkPeersSchema = z.object({
+  type: z.literal('linkPeers'),
+  list: hostListSchema,
+});
+
+export const timerWantedSchema = z.object({
+  type: z.literal('timerWanted'),
+  timerId: z.string(),
+  atMs: z.number(),
+});
+
+export const sendProbeSchema = z.object({
+  type: z.literal('sendProbe'),
+  serverId: z.string(),
+  origin: z.string(),
+  path: z.string(),
+  timeoutMs: z.number(),
+});
+
+export const probeAnsweredSchema = z.object({
+  type: z.literal('probeAnswered'),
+  serverId: z.string(),
+  isHealthy: z.boolean(),
+  latencyMs: z.number(),
+});
+
+export const countSchema = z.object({
+  type: z.literal('count'),
+  name: z.string(),
+  tags: z.record(z.string(), z.string()),
+  by: z.number().int().optional(),
+});
+
+export const logSchema = z.object({
+  type: z.literal('log'),
+  level: z.enum(['debug', 'info', 'warn', 'error']),
+  event: z.string(),
+  fields: z.record(z.string(), z.unknown()),
+});
+
+export type SendProbe = z.infer<typeof sendProbeSchema>;
+export type MembershipChanged = z.infer<typeof membershipChangedSchema>;
+
+/** The platform or a peer confirmed at `askedAtMs` that the document in force is the newest. */
+export const manifestConfirmedSchema = z.object({
+  type: z.literal('manifestConfirmed'),
+  askedAtMs: z.number(),
+  documentVersion: z.number().int(),
+});
+
+/** An operator asks what the host knows and why it decides as it does. */
+export const statusWantedSchema = z.object({
+  type: z.literal('statusWanted'),
+  askId: z.number().int(),
+});
+
+/** One task's part of the answer to `statusWanted`. */
+export const statusToldSchema = z.object({
+  type: z.literal('statusTold'),
+  askId: z.number().int(),
+  section: z.string(),
+  value: z.record(z.string(), z.unknown()),
+});
--- /dev/null
+++ b/packages/core/src/messages/peerMessages.ts
@@ -0,0 +1,170 @@
+import {z} from 'zod';
+import {hostListSchema, manifestSchema} from '@godwitspring/document';
+
+const versionSchema = z.number().int().min(0);
+const sha256Schema = z.string().length(64);
+const tokenCountSchema = z.number().int().min(0);
+
+/** Asks a peer what it holds and of whom it heard. */
+export const heartbeatAskSchema = z.object({
+  type: z.literal('heartbeatAsk'),
+  nonce: z.number().int(),
+  listVersion: versionSchema,
+  documentVersion: versionSchema,
+});
+
+/** What a peer holds at the moment of its answer. */
+export const heartbeatAnswerSchema = z.object({
+  type: z.literal('heartbeatAnswer'),
+  nonce: z.number().int(),
+  listVersion: versionSchema,
+  documentVersion: versionSchema,
+  /** Oldest list that still bounds the peer's share; absent while it has learnt of none. */
+  oldestListVersion: versionSchema.optional(),
+  /** True where the peer is a settled member and its view is fresh. */
+  isFresh: z.boolean(),
+  /** Age of the newest answer of the platform that the peer knows of, in ms. */
+  platformAgeMs: z.number().optional(),
+  /** Lower bound of the platform's clock now, in ms. */
+  platformNowMs: z.number().optional(),
+  /** Age of the evidence of each host of the list, in units of 100 ms; 255 for none. */
+  ages: z.instanceof(Uint8Array),
+});
+
+export const listAskSchema = z.object({type: z.literal('listAsk')});
+
+/** The lists that bound a peer's share, oldest first. */
+export const listAnswerSchema = z.object({
+  type: z.literal('listAnswer'),
+  lists: z.array(hostListSchema).max(64),
+  /** True where the peer is a settled member and its view is fresh. */
+  isFresh: z.boolean(),
+});
+
+/** Tells a peer of a document version that came into force. */
+export const versionAnnouncedSchema = z.object({
+  type: z.literal('versionAnnounced'),
+  documentVersion: versionSchema,
+});
+
+export const manifestAskSchema = z.object({type: z.literal('manifestAsk')});
+
+export const manifestAnswerSchema = z.object({
+  type: z.literal('manifestAnswer'),
+  manifest: manifestSchema,
+});
+
+export const partAskSchema = z.object({type: z.literal('partAsk'), sha256: sha256Schema});
+
+export const partAnswerSchema = z.object({
+  type: z.literal('partAnswer'),
+  sha256: sha256Schema,
+  /** Absent where the peer does not hold the part. */
+  text: z.string().optional(),
+});
+
+/** A home asks a peer to lend its share of every allowance in the buckets. */
+export const loanAskSchema = z.object({
+  type: z.literal('loanAsk'),
+  nonce: z.number().int(),
+  /** Nonce of the last answer that arrived from this lender; 0 for none. */
+  heardNonce: z.number().int(),
+  buckets: z.array(z.number().int()),
+});
+
+/** The loans a peer grants; each runs for the loan lease, counted by the borrower from its ask. */
+export const loanAnswerSchema = z.object({
+  type: z.literal('loanAnswer'),
+  nonce: z.number().int(),
+  /** The lender's share of each allowance, 0 to 1. */
+  share: z.number().min(0).max(1),
+  loans: z.array(
+    z.object({
+      bucket: z.number().int(),
+      /** Time for which the share lay unused before this loan, in ms. */
+      idleMs: z.number().min(0),
+    }),
+  ),
+});
+
+/** A home gives loans back before their lease ends and holds them no more. */
+export const loanReturnSchema = z.object({
+  type: z.literal('loanReturn'),
+  buckets: z.array(z.number().int()),
+});
+
+/** A home that stops hands its saved tokens to its successor. */
+export const stockHandoverSchema = z.object({
+  type: z.literal('stockHandover'),
+  handoverId: z.string(),
+  stock: z.array(z.object({customerId: z.string(), tokens: z.number().min(0)})),
+});
+
+/** An entry host asks a home for tokens and reports what became of earlier ones. */
+export const tokenAskSchema = z.object({
+  type: z.literal('tokenAsk'),
+  askId: z.number().int(),
+  wants: z.array(
+    z.object({
+      customerId: z.string(),
+      /** Requests that wait now. */
+      now: tokenCountSchema,
+      /** Requests expected within the life of a grant. */
+      ahead: tokenCountSchema,
+    }),
+  ),
+  settled: z.array(
+    z.object({
+      grantId: z.number().int(),
+      /** Tokens of the grant that were used; the rest will never be. */
+      used: tokenCountSchema,
+    }),
+  ),
+});
+
+export const tokenAnswerSchema = z.object({
+  type: z.literal('tokenAnswer'),
+  askId: z.number().int(),
+  grants: z.array(
+    z.object({
+      customerId: z.string(),
+      grantId: z.number().int(),
+      count: tokenCountSchema,
+      /** Life of the tokens, counted by the entry host from its ask, in ms. */
+      lifeMs: z.number().min(0),
+      /** Time until the next token, where fewer were granted than wait, in ms. */
+      retryAfterMs: z.number().min(0).optional(),
+      /** False where the home holds too little of the allowance to judge the customer. */
+      isSettled: z.boolean(),
+    }),
+  ),
+});
+
+/** The sender is stopping and will use none of its allowances again. */
+export const leavingSchema = z.object({type: z.literal('leaving')});
+
+/** Every message between hosts. */
+export const peerMessageSchema = z.discriminatedUnion('type', [
+  heartbeatAskSchema,
+  heartbeatAnswerSchema,
+  listAskSchema,
+  listAnswerSchema,
+  versionAnnouncedSchema,
+  manifestAskSchema,
+  manifestAnswerSchema,
+  partAskSchema,
+  partAnswerSchema,
+  loanAskSchema,
+  loanAnswerSchema,
+  loanReturnSchema,
+  stockHandoverSchema,
+  tokenAskSchema,
+  tokenAnswerSchema,
+  leavingSchema,
+]);
+
+export type PeerMessage = z.infer<typeof peerMessageSchema>;
+export type HeartbeatAnswer = z.infer<typeof heartbeatAnswerSchema>;
+export type TokenAsk = z.infer<typeof tokenAskSchema>;
+export type TokenAnswer = z.infer<typeof tokenAnswerSchema>;
+export type LoanAnswer = z.infer<typeof loanAnswerSchema>;
--- /dev/null
+++ b/packages/core/src/messages/requestMessages.ts
@@ -0,0 +1,195 @@
+import {z} from 'zod';
+import {errorKindSchema, outcomeSchema} from '../errors/errorKinds.ts';
+
+const requestIdSchema = z.number().int();
+
+/** A caller's request whose head was read; the body stays with the front end. */
+export const requestArrivedSchema = z.object({
+  type: z.literal('requestArrived'),
+  requestId: requestIdSchema,
+  /** Host name asked for, lower case, without port. */
+  host: z.string(),
+  path: z.string(),
+  method: z.string(),
+  /** SHA-256 of the key shown, in hex. */
+  keyDigest: z.string().optional(),
+  idempotencyKey: z.string().optional(),
+  /** Announced size of the body, in bytes; absent when it comes in chunks. */
+  bodyBytes: z.number().optional(),
+  /** True where the front end can send the same body again. */
+  isReplayable: z.boolean(),
+  /** Time that the caller gives, in ms. */
+  budgetMs: z.number().optional(),
+  /** Digest of method, path and what is known of the body; names repeats of the request. */
+  requestDigest: z.string().optional(),
+});
+
+/** The head of a backend server's answer arrived. */
+export const attemptAnsweredSchema = z.object({
+  type: z.literal('attemptAnswered'),
+  requestId: requestIdSchema,
+  attempt: z.number().int(),
+  status: z.number().int(),
+  /** True where the server itself says that it did not run the request. */
+  saidNotRun: z.boolean(),
+});
+
+export const attemptFailureSchema = z.enum([
+  'connect',
+  'lost',
+  'timeout',
+  'malformed',
+  'caller',
+  'body-limit',
+]);
+
+/** An attempt ended without a whole answer. */
+export const attemptFailedSchema = z.object({
+  type: z.literal('attemptFailed'),
+  requestId: requestIdSchema,
+  attempt: z.number().int(),
+  failure: attemptFailureSchema,
+  /** False only where no byte of the request can have reached the server. */
+  mayHaveRun: z.boolean(),
+});
+
+/** An attempt's whole answer was handed to the caller or discarded. */
+export const attemptFinishedSchema = z.object({
+  type: z.literal('attemptFinished'),
+  requestId: requestIdSchema,
+  attempt: z.number().int(),
+});
+
+export const callerLeftSchema = z.object({
+  type: z.literal('callerLeft'),
+  requestId: requestIdSchema,
+});
+
+/** Asks for permission to run one request of a customer. */
+export const permitWantedSchema = z.object({
+  type: z.literal('permitWanted'),
+  requestId: requestIdSchema,
+  customerId: z.string(),
+  deadlineAtMs: z.number(),
+});
+
+export const permitGrantedSchema = z.object({
+  type: z.literal('permitGranted'),
+  requestId: requestIdSchema,
+  /** Last moment at which the permission may be used, on this host's clock. */
+  usableUntilMs: z.number(),
+});
+
+export const permitRefusedSchema = z.object({
+  type: z.literal('permitRefused'),
+  requestId: requestIdSchema,
+  kind: errorKindSchema,
+  retryAfterMs: z.number().optional(),
+});
+
+/** Asks for a backend server with a free slot. */
+export const serverWantedSchema = z.object({
+  type: z.literal('serverWanted'),
+  requestId: requestIdSchema,
+  backendId: z.string(),
+  customerId: z.string().optional(),
+  /** Servers that were tried already. */
+  excludedServerIds: z.array(z.string()),
+  deadlineAtMs: z.number(),
+});
+
+export const serverGrantedSchema = z.object({
+  type: z.literal('serverGranted'),
+  requestId: requestIdSchema,
+  serverId: z.string(),
+  origin: z.string(),
+});
+
+export const serverRefusedSchema = z.object({
+  type: z.literal('serverRefused'),
+  requestId: requestIdSchema,
+  kind: errorKindSchema,
+});
+
+export const workOutcomeSchema = z.enum([
+  'ok',
+  'error',
+  'timeout',
+  'lost',
+  'unreachable',
+  'shed',
+  'cancelled',
+]);
+
+/** A slot is free again, with what was seen of the server. */
+export const serverReleasedSchema = z.object({
+  type: z.literal('serverReleased'),
+  requestId: requestIdSchema,
+  serverId: z.string(),
+  backendId: z.string(),
+  routeId: z.string(),
+  outcome: workOutcomeSchema,
+  /** Time from the start of the attempt to the head of the answer, in ms. */
+  latencyMs: z.number(),
+});
+
+/** The request needs neither permission nor server any more. */
+export const requestWithdrawnSchema = z.object({
+  type: z.literal('requestWithdrawn'),
+  requestId: requestIdSchema,
+});
+
+export const startAttemptSchema = z.object({
+  type: z.literal('startAttempt'),
+  requestId: requestIdSchema,
+  attempt: z.number().int(),
+  serverId: z.string(),
+  origin: z.string(),
+  /** Time left for the whole answer, in ms. */
+  timeoutMs: z.number(),
+  /** Customer named to the server in place of the key. */
+  customerId: z.string().optional(),
+  notRunHeader: z.string(),
+  maxBodyBytes: z.number(),
+});
+
+export const deliverAnswerSchema = z.object({
+  type: z.literal('deliverAnswer'),
+  requestId: requestIdSchema,
+  attempt: z.number().int(),
+});
+
+export const discardAnswerSchema = z.object({
+  type: z.literal('discardAnswer'),
+  requestId: requestIdSchema,
+  attempt: z.number().int(),
+});
+
+export const cancelAttemptSchema = z.object({
+  type: z.literal('cancelAttempt'),
+  requestId: requestIdSchema,
+  attempt: z.number().int(),
+});
+
+export const refuseRequestSchema = z.object({
+  type: z.literal('refuseRequest'),
+  requestId: requestIdSchema,
+  kind: errorKindSchema,
+  outcome: outcomeSchema,
+  retryAfterMs: z.number().optional(),
+});
+
+export type RequestArrived = z.infer<typeof requestArrivedSchema>;
+export type AttemptFailure = z.infer<typeof attemptFailureSchema>;
+export type WorkOutcome = z.infer<typeof workOutcomeSchema>;
+export type ServerReleased = z.infer<typeof serverReleasedSchema>;
+export type ServerWanted = z.infer<typeof serverWantedSchema>;
+export type StartAttempt = z.infer<typeof startAttemptSchema>;
+export type RefuseRequest = z.infer<typeof refuseRequestSchema>;
+
+/** Tells that permission will be wanted soon, so that it can be fetched ahead. */
+export const permitForeseenSchema = z.object({
+  type: z.literal('permitForeseen'),
+  requestId: requestIdSchema,
+  customerId: z.string(),
+});
--- /dev/null
+++ b/packages/core/src/request/requestState.ts
@@ -0,0 +1,29 @@
+import type {Backend, Route} from '@godwitspring/document';
+
+/** Where a request stands. */
+export type RequestPhase = 'server' | 'permit' | 'attempt' | 'delivering';
+
+/** All that the core knows of one request in progress. */
+export interface RequestState {
+  readonly requestId: number;
+  readonly route: Route;
+  readonly backend: Backend;
+  readonly customerId: string | undefined;
+  readonly isIdempotent: boolean;
+  readonly isReplayable: boolean;
+  readonly deadlineAtMs: number;
+  readonly idempotencyKey: string | undefined;
+  readonly requestDigest: string | undefined;
+  phase: RequestPhase;
+  /** Number of the attempt that runs or ran last, from 1. */
+  attempt: number;
+  /** True once an attempt may have run on a server that did not answer. */
+  hasBeenInDoubt: boolean;
+  /** True once the customer's permission was spent. */
+  isPermitted: boolean;
+  serverId: string | undefined;
+  origin: string | undefined;
+  attemptStartedAtMs: number;
+  headLatencyMs: number | undefined;
+  readonly excludedServerIds: string[];
+}
--- /dev/null
+++ b/packages/core/src/request/requestTask.ts
@@ -0,0 +1,521 @@
+import {isIdempotent} from '@godwitspring/document';
+import type {Customer, FleetDocument, Route} from '@godwitspring/document';
+import {answerTable} from '../errors/answerTable.ts';
+import type {ErrorKind, Outcome} from '../errors/errorKinds.ts';
+import type {CoreTask} from '../host/coreTask.ts';
+import type {CoreMessage} from '../messages/coreMessage.ts';
+import type {
+  AttemptFailure,
+  RequestArrived,
+  StartAttempt,
+  WorkOutcome,
+} from '../messages/requestMessages.ts';
+import {DocumentIndex} from '../routing/documentIndex.ts';
+import {RetryBudget} from './retryBudget.ts';
+import type {RetryBudgetOptions} from './retryBudget.ts';
+import type {RequestState} from './requestState.ts';
+
+export interface RequestTaskOptions {
+  /** Attempts at one request in all. Default: 3. */
+  readonly maxAttempts: number;
+  /** Least time left in which an attempt is worth its start, in ms. Default: 5. */
+  readonly minAttemptMs: number;
+  readonly retryBudget: Partial<RetryBudgetOptions>;
+}
+
+export const DEFAULT_REQUEST_TASK_OPTIONS: RequestTaskOptions = {
+  maxAttempts: 3,
+  minAttemptMs: 5,
+  retryBudget: {},
+};
+
+const timerPrefix = 'request:';
+
+interface RefusalOptions {
+  readonly retryAfterMs?: number | undefined;
+  readonly outcome?: Outcome | undefined;
+}
+
+const kindByFailure: Readonly<Record<AttemptFailure, ErrorKind>> = {
+  connect: 'connect-failed',
+  lost: 'answer-lost',
+  timeout: 'answer-timeout',
+  malformed: 'answer-malformed',
+  caller: 'caller-too-slow',
+  'body-limit': 'body-too-large',
+};
+
+const workOutcomeByFailure: Readonly<Record<AttemptFailure, WorkOutcome>> = {
+  connect: 'unreachable',
+  lost: 'lost',
+  timeout: 'timeout',
+  malformed: 'lost',
+  caller: 'cancelled',
+  'body-limit': 'cancelled',
+};
+
+/** Leads each request from its arrival to its answer or refusal; decides on retries. */
+export class RequestTask implements CoreTask {
+  readonly accepts = [
+    'requestArrived',
+    'serverGranted',
+    'serverRefused',
+    'permitGranted',
+    'permitRefused',
+    'attemptAnswered',
+    'attemptFailed',
+    'attemptFinished',
+    'callerLeft',
+    'timerFired',
+    'documentInForce',
+    'freshUntil',
+    'shutdownWanted',
+    'statusWanted',
+  ] as const;
+
+  readonly #options: RequestTaskOptions;
+  readonly #retryBudget: RetryBudget;
+  readonly #requests = new Map<number, RequestState>();
+  #index: DocumentIndex | undefined;
+  #freshUntilMs = Number.NEGATIVE_INFINITY;
+  #isShuttingDown = false;
+
+  constructor(options: Partial<RequestTaskOptions> = {}) {
+    this.#options = {...DEFAULT_REQUEST_TASK_OPTIONS, ...options};
+    this.#retryBudget = new RetryBudget(this.#options.retryBudget);
+  }
+
+  receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
+    switch (message.type) {
+      case 'requestArrived':
+        return this.#onArrived(message, nowMs);
+      case 'documentInForce':
+        return this.#onDocument(message.document);
+      case 'freshUntil':
+        this.#freshUntilMs = message.untilMs;
+        return [];
+      case 'shutdownWanted':
+        this.#isShuttingDown = true;
+        return [];
+      case 'timerFired':
+        return this.#onTimer(message.timerId, nowMs);
+      case 'statusWanted': {
+        const value = {
+          inProgress: this.#requests.size,
+          isReady:
+            this.#index !== undefined &&
+            nowMs <= this.#freshUntilMs &&
+            !this.#isShuttingDown,
+          freshForMs: Math.max(0, this.#freshUntilMs - nowMs),
+        };
+        return [{type: 'statusTold', askId: message.askId, section: 'requests', value}];
+      }
+      default:
+        return this.#onProgress(message, nowMs);
+    }
+  }
+
+  #onProgress(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
+    const request =
+      'requestId' in message ? this.#requests.get(message.requestId) : undefined;
+    if (request === undefined) {
+      return [];
+    }
+    switch (message.type) {
+      case 'serverGranted':
+        return this.#onServer(request, message.serverId, message.origin, nowMs);
+      case 'serverRefused':
+        return this.#refuse(request, message.kind);
+      case 'permitGranted':
+        return this.#onPermit(request, message.usableUntilMs, nowMs);
+      case 'permitRefused':
+        return this.#onPermitRefused(request, message.kind, message.retryAfterMs);
+      case 'attemptAnswered':
+        return this.#onAnswered(request, message, nowMs);
+      case 'attemptFailed':
+        return this.#onFailed(request, message, nowMs);
+      case 'attemptFinished':
+        return this.#onFinished(request, message.attempt);
+      case 'callerLeft':
+        return this.#onCallerLeft(request);
+      default:
+        return [];
+    }
+  }
+
+  #onDocument(document: FleetDocument): readonly CoreMessage[] {
+    this.#index = new DocumentIndex(document);
+    return [];
+  }
+
+  #onArrived(message: RequestArrived, nowMs: number): readonly CoreMessage[] {
+    const {requestId} = message;
+    const admission = this.#admit(message, nowMs);
+    if (typeof admission === 'string') {
+      return this.#refuseAtOnce(requestId, admission);
+    }
+    const {request} = admission;
+    this.#requests.set(requestId, request);
+    this.#retryBudget.earn();
+    const messages: CoreMessage[] = [
+      {
+        type: 'timerWanted',
+        timerId: `${timerPrefix}${requestId}`,
+        atMs: request.deadlineAtMs,
+      },
+    ];
+    if (request.customerId !== undefined) {
+      messages.push({type: 'permitForeseen', requestId, customerId: request.customerId});
+    }
+    messages.push(this.#wantServer(request));
+    return messages;
+  }
+
+  #admit(message: RequestArrived, nowMs: number): {request: RequestState} | ErrorKind {
+    if (this.#isShuttingDown) {
+      return 'shutting-down';
+    }
+    const index = this.#index;
+    if (index === undefined) {
+      return 'no-configuration';
+    }
+    if (nowMs > this.#freshUntilMs) {
+      return 'host-not-current';
+    }
+    const match = index.findRoute(message.host, message.path, message.method);
+    if (match.kind !== 'found') {
+      return match.kind;
+    }
+    const customer = this.#customerFor(match.route, message, index);
+    if (typeof customer === 'string') {
+      return customer;
+    }
+    return this.#checkLimits(match.route, customer, message, nowMs);
+  }
+
+  #customerFor(
+    route: Route,
+    message: RequestArrived,
+    index: DocumentIndex,
+  ): Customer | ErrorKind | undefined {
+    if (route.openToAll) {
+      return undefined;
+    }
+    if (message.keyDigest === undefined) {
+      return 'key-missing';
+    }
+    return index.customerOfKey(message.keyDigest) ?? 'key-unknown';
+  }
+
+  #checkLimits(
+    route: Route,
+    customer: Customer | undefined,
+    message: RequestArrived,
+    nowMs: number,
+  ): {request: RequestState} | ErrorKind {
+    const backend = this.#index?.backend(route.backend);
+    if (backend === undefined) {
+      return 'no-server';
+    }
+    if ((message.bodyBytes ?? 0) > route.maxBodyBytes) {
+      return 'body-too-large';
+    }
+    const budgetMs = Math.min(message.budgetMs ?? route.timeoutMs, route.timeoutMs);
+    if (budgetMs < this.#options.minAttemptMs) {
+      return 'deadline-too-short';
+    }
+    return {
+      request: {
+        requestId: message.requestId,
+        route,
+        backend,
+        customerId: customer?.id,
+        isIdempotent: isIdempotent(route, message.method),
+        isReplayable: message.isReplayable,
+        deadlineAtMs: nowMs + budgetMs,
+        idempotencyKey: message.idempotencyKey,
+        requestDigest: message.requestDigest,
+        phase: 'server',
+        attempt: 0,
+        hasBeenInDoubt: false,
+        isPermitted: customer === undefined,
+        serverId: undefined,
+        origin: undefined,
+        attemptStartedAtMs: nowMs,
+        headLatencyMs: undefined,
+        excludedServerIds: [],
+      },
+    };
+  }
+
+  #wantServer(request: RequestState): CoreMessage {
+    request.phase = 'server';
+    return {
+      type: 'serverWanted',
+      requestId: request.requestId,
+      backendId: request.backend.id,
+      customerId: request.customerId,
+      excludedServerIds: [...request.excludedServerIds],
+      deadlineAtMs: request.deadlineAtMs,
+    };
+  }
+
+  #onServer(
+    request: RequestState,
+    serverId: string,
+    origin: string,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    request.serverId = serverId;
+    request.origin = origin;
+    if (request.isPermitted || request.customerId === undefined) {
+      return [this.#startAttempt(request, nowMs)];
+    }
+    request.phase = 'permit';
+    const {requestId, customerId, deadlineAtMs} = request;
+    return [{type: 'permitWanted', requestId, customerId, deadlineAtMs}];
+  }
+
+  #onPermit(
+    request: RequestState,
+    usableUntilMs: number,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    if (request.phase !== 'permit' || request.customerId === undefined) {
+      return [];
+    }
+    if (nowMs > this.#freshUntilMs) {
+      return this.#refuse(request, 'host-not-current');
+    }
+    const {requestId, customerId, deadlineAtMs} = request;
+    if (nowMs > usableUntilMs) {
+      return [{type: 'permitWanted', requestId, customerId, deadlineAtMs}];
+    }
+    if (this.#index?.customer(customerId) === undefined) {
+      return this.#refuse(request, 'key-unknown');
+    }
+    request.isPermitted = true;
+    return [this.#startAttempt(request, nowMs)];
+  }
+
+  #onPermitRefused(
+    request: RequestState,
+    kind: ErrorKind,
+    retryAfterMs: number | undefined,
+  ): readonly CoreMessage[] {
+    const isWaiting = request.phase === 'permit' || request.phase === 'server';
+    return isWaiting && !request.isPermitted
+      ? this.#refuse(request, kind, {retryAfterMs})
+      : [];
+  }
+
+  #startAttempt(request: RequestState, nowMs: number): StartAttempt {
+    request.phase = 'attempt';
+    request.attempt += 1;
+    request.attemptStartedAtMs = nowMs;
+    request.headLatencyMs = undefined;
+    return {
+      type: 'startAttempt',
+      requestId: request.requestId,
+      attempt: request.attempt,
+      serverId: request.serverId ?? '',
+      origin: request.origin ?? '',
+      timeoutMs: request.deadlineAtMs - nowMs,
+      customerId: request.customerId,
+      notRunHeader: request.backend.notRunHeader,
+      maxBodyBytes: request.route.maxBodyBytes,
+    };
+  }
+
+  #onAnswered(
+    request: RequestState,
+    message: {attempt: number; status: number; saidNotRun: boolean},
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    if (request.phase !== 'attempt' || message.attempt !== request.attempt) {
+      return [];
+    }
+    request.headLatencyMs = nowMs - request.attemptStartedAtMs;
+    if (message.saidNotRun) {
+      return this.#retryOr(request, 'shed', 'server-shed', nowMs);
+    }
+    const isFailure = message.status >= 500;
+    if (isFailure && request.isIdempotent && this.#canRetry(request, nowMs)) {
+      return this.#retry(request, 'error', 'server-error');
+    }
+    request.phase = 'delivering';
+    const {requestId, attempt} = request;
+    const deliver: CoreMessage = {type: 'deliverAnswer', requestId, attempt};
+    return isFailure ? [deliver, this.#count('server.error', request)] : [deliver];
+  }
+
+  #onFailed(
+    request: RequestState,
+    message: {attempt: number; failure: AttemptFailure; mayHaveRun: boolean},
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    if (message.attempt !== request.attempt) {
+      return [];
+    }
+    const outcome = workOutcomeByFailure[message.failure];
+    if (request.phase === 'delivering') {
+      return this.#end(request, outcome);
+    }
+    const kind = kindByFailure[message.failure];
+    if (outcome === 'cancelled') {
+      return this.#refuse(request, kind, {outcome: 'unknown'}, outcome);
+    }
+    if (!message.mayHaveRun) {
+      return this.#retryOr(request, outcome, kind, nowMs);
+    }
+    request.hasBeenInDoubt = true;
+    if (request.isIdempotent) {
+      return this.#retryOr(request, outcome, kind, nowMs);
+    }
+    return this.#refuse(request, kind, {}, outcome);
+  }
+
+  /** Retries where allowed; otherwise refuses. */
+  #retryOr(
+    request: RequestState,
+    outcome: WorkOutcome,
+    kind: ErrorKind,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    if (this.#canRetry(request, nowMs)) {
+      return this.#retry(request, outcome, kind);
+    }
+    return this.#refuse(request, kind, {}, outcome);
+  }
+
+  #canRetry(request: RequestState, nowMs: number): boolean {
+    if (!request.isReplayable || request.attempt >= this.#options.maxAttempts) {
+      return false;
+    }
+    if (request.deadlineAtMs - nowMs < this.#options.minAttemptMs) {
+      return false;
+    }
+    return this.#retryBudget.spend();
+  }
+
+  #retry(
+    request: RequestState,
+    outcome: WorkOutcome,
+    reason: string,
+  ): readonly CoreMessage[] {
+    const {requestId, attempt} = request;
+    const released = this.#release(request, outcome);
+    return [
+      {type: 'discardAnswer', requestId, attempt},
+      ...released,
+      this.#count(`retry.${reason}`, request),
+      this.#wantServer(request),
+    ];
+  }
+
+  #release(request: RequestState, outcome: WorkOutcome): readonly CoreMessage[] {
+    const {requestId, serverId, backend, route} = request;
+    if (serverId === undefined) {
+      return [{type: 'requestWithdrawn', requestId}];
+    }
+    request.serverId = undefined;
+    request.excludedServerIds.push(serverId);
+    return [
+      {
+        type: 'serverReleased',
+        requestId,
+        serverId,
+        backendId: backend.id,
+        routeId: route.id,
+        outcome,
+        latencyMs: request.headLatencyMs ?? 0,
+      },
+      {type: 'requestWithdrawn', requestId},
+    ];
+  }
+
+  #onFinished(request: RequestState, attempt: number): readonly CoreMessage[] {
+    if (request.phase !== 'delivering' || attempt !== request.attempt) {
+      return [];
+    }
+    return [...this.#end(request, 'ok'), this.#count('request.answered', request)];
+  }
+
+  #onCallerLeft(request: RequestState): readonly CoreMessage[] {
+    const {requestId, attempt, phase} = request;
+    const ended = this.#end(request, 'cancelled');
+    const isRunning = phase === 'attempt' || phase === 'delivering';
+    return isRunning ? [{type: 'cancelAttempt', requestId, attempt}, ...ended] : ended;
+  }
+
+  #onTimer(timerId: string, nowMs: number): readonly CoreMessage[] {
+    if (!timerId.startsWith(timerPrefix)) {
+      return [];
+    }
+    const request = this.#requests.get(Number(timerId.slice(timerPrefix.length)));
+    if (request === undefined || nowMs < request.deadlineAtMs) {
+      return [];
+    }
+    return this.#onDeadline(request);
+  }
+
+  #onDeadline(request: RequestState): readonly CoreMessage[] {
+    const {requestId, attempt} = request;
+    const cancel: CoreMessage = {type: 'cancelAttempt', requestId, attempt};
+    switch (request.phase) {
+      case 'server':
+        return this.#refuse(request, 'overloaded');
+      case 'permit':
+        return this.#refuse(request, 'allowance-unavailable');
+      case 'attempt':
+        request.hasBeenInDoubt = true;
+        return [cancel, ...this.#refuse(request, 'answer-timeout', {}, 'timeout')];
+      case 'delivering':
+        return [cancel, ...this.#end(request, 'timeout')];
+    }
+  }
+
+  #end(request: RequestState, outcome: WorkOutcome): readonly CoreMessage[] {
+    this.#requests.delete(request.requestId);
+    return this.#release(request, outcome);
+  }
+
+  #refuse(
+    request: RequestState,
+    kind: ErrorKind,
+    {retryAfterMs, outcome}: RefusalOptions = {},
+    workOutcome: WorkOutcome = 'cancelled',
+  ): readonly CoreMessage[] {
+    const ended = this.#end(request, workOutcome);
+    const told = request.hasBeenInDoubt
+      ? 'unknown'
+      : (outcome ?? answerTable[kind].outcome);
+    return [
+      ...ended,
+      ...this.#refuseAtOnce(request.requestId, kind, {retryAfterMs, outcome: told}),
+    ];
+  }
+
+  #refuseAtOnce(
+    requestId: number,
+    kind: ErrorKind,
+    options: RefusalOptions = {},
+  ): readonly CoreMessage[] {
+    const {outcome, retryAfterMs} = options;
+    const answer = answerTable[kind];
+    return [
+      {
+        type: 'refuseRequest',
+        requestId,
+        kind,
+        outcome: outcome ?? answer.outcome,
+        retryAfterMs: retryAfterMs ?? answer.retryAfterMs,
+      },
+      {type: 'count', name: 'request.refused', tags: {kind}},
+    ];
+  }
+
+  #count(name: string, request: RequestState): CoreMessage {
+    return {type: 'count', name, tags: {route: request.route.id}};
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/serverPoolTask.ts
@@ -0,0 +1,229 @@
+import type {Backend, FleetDocument} from '@godwitspring/document';
+import type {CoreTask} from '../host/coreTask.ts';
+import type {CoreMessage} from '../messages/coreMessage.ts';
+import type {ServerReleased, ServerWanted} from '../messages/requestMessages.ts';
+import {DocumentIndex} from './documentIndex.ts';
+import {FairQueue} from './fairQueue.ts';
+import type {FairQueueOptions, WaitingRequest} from './fairQueue.ts';
+import type {ServerCandidate, ServerChoice} from './serverChoice.ts';
+
+export interface ServerPoolTaskOptions {
+  readonly choice: ServerChoice;
+  /** Longest wait for a free slot, in ms. Default: 1,000. */
+  readonly maxWaitMs: number;
+  readonly queue: Partial<FairQueueOptions>;
+}
+
+export const DEFAULT_SERVER_POOL_OPTIONS = {maxWaitMs: 1_000, queue: {}} as const;
+
+const timerId = 'serverPool.expire';
+const expiryIntervalMs = 25;
+const openRouteCustomer = '';
+
+interface PoolServer {
+  readonly serverId: string;
+  readonly origin: string;
+  readonly dataCentre: string;
+  isInService: boolean;
+}
+
+interface Pool {
+  backend: Backend;
+  servers: PoolServer[];
+  readonly queue: FairQueue;
+}
+
+/** Gives each request a backend server with a free slot, customers in turn when slots are short. */
+export class ServerPoolTask implements CoreTask {
+  readonly accepts = [
+    'serverWanted',
+    'serverReleased',
+    'requestWithdrawn',
+    'documentInForce',
+    'timerFired',
+  ] as const;
+
+  readonly #options: ServerPoolTaskOptions;
+  readonly #pools = new Map<string, Pool>();
+  readonly #backendByWaitingRequest = new Map<number, string>();
+  readonly #runningByServer = new Map<string, number>();
+  readonly #grantByRequest = new Map<number, {serverId: string; backendId: string}>();
+  #isTimerSet = false;
+
+  constructor({
+    choice,
+    ...options
+  }: Partial<ServerPoolTaskOptions> & Pick<ServerPoolTaskOptions, 'choice'>) {
+    this.#options = {...DEFAULT_SERVER_POOL_OPTIONS, ...options, choice};
+  }
+
+  receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
+    switch (message.type) {
+      case 'serverWanted':
+        return this.#onWanted(message, nowMs);
+      case 'serverReleased':
+        return this.#onReleased(message);
+      case 'requestWithdrawn':
+        return this.#onWithdrawn(message.requestId);
+      case 'documentInForce':
+        return this.#onDocument(message.document);
+      case 'timerFired':
+        return message.timerId === timerId ? this.#onTimer(nowMs) : [];
+      default:
+        return [];
+    }
+  }
+
+  #onDocument(document: FleetDocument): readonly CoreMessage[] {
+    const index = new DocumentIndex(document);
+    for (const backend of document.backends) {
+      const inService = new Set(index.serversInService(backend).map(({id}) => id));
+      const servers = backend.servers.map(({id, origin, dataCentre}) => ({
+        serverId: id,
+        origin,
+        dataCentre,
+        isInService: inService.has(id),
+      }));
+      const queue =
+        this.#pools.get(backend.id)?.queue ?? new FairQueue(this.#options.queue);
+      this.#pools.set(backend.id, {backend, servers, queue});
+    }
+    return [];
+  }
+
+  #onWanted(message: ServerWanted, nowMs: number): readonly CoreMessage[] {
+    const {requestId, backendId, deadlineAtMs} = message;
+    const pool = this.#pools.get(backendId);
+    if (pool?.servers.some(({isInService}) => isInService) !== true) {
+      return [{type: 'serverRefused', requestId, kind: 'no-server'}];
+    }
+    const request: WaitingRequest = {
+      requestId,
+      customerId: message.customerId ?? openRouteCustomer,
+      excludedServerIds: message.excludedServerIds,
+      expiresAtMs: Math.min(deadlineAtMs, nowMs + this.#options.maxWaitMs),
+    };
+    const granted = pool.queue.size === 0 ? this.#grant(pool, request) : undefined;
+    return granted === undefined ? this.#enqueue(pool, request, nowMs) : [granted];
+  }
+
+  #enqueue(pool: Pool, request: WaitingRequest, nowMs: number): readonly CoreMessage[] {
+    this.#backendByWaitingRequest.set(request.requestId, pool.backend.id);
+    const dropped = pool.queue.add(request);
+    const messages: CoreMessage[] = [];
+    if (dropped !== undefined) {
+      this.#backendByWaitingRequest.delete(dropped.requestId);
+      messages.push({
+        type: 'serverRefused',
+        requestId: dropped.requestId,
+        kind: 'overloaded',
+      });
+    }
+    messages.push(...this.#serveWaiting(pool), ...this.#armTimer(nowMs));
+    return messages;
+  }
+
+  #armTimer(nowMs: number): readonly CoreMessage[] {
+    if (this.#isTimerSet || this.#backendByWaitingRequest.size === 0) {
+      return [];
+    }
+    this.#isTimerSet = true;
+    return [{type: 'timerWanted', timerId, atMs: nowMs + expiryIntervalMs}];
+  }
+
+  #onTimer(nowMs: number): readonly CoreMessage[] {
+    this.#isTimerSet = false;
+    const messages: CoreMessage[] = [];
+    for (const {queue} of this.#pools.values()) {
+      for (const {requestId} of queue.takeExpired(nowMs)) {
+        this.#backendByWaitingRequest.delete(requestId);
+        messages.push({type: 'serverRefused', requestId, kind: 'overloaded'});
+      }
+    }
+    messages.push(...this.#armTimer(nowMs));
+    return messages;
+  }
+
+  #onReleased({requestId}: ServerReleased): readonly CoreMessage[] {
+    return this.#freeSlot(requestId);
+  }
+
+  #freeSlot(requestId: number): readonly CoreMessage[] {
+    const grant = this.#grantByRequest.get(requestId);
+    if (grant === undefined) {
+      return [];
+    }
+    this.#grantByRequest.delete(requestId);
+    const {serverId, backendId} = grant;
+    const running = this.#runningByServer.get(serverId) ?? 0;
+    if (running <= 1) {
+      this.#runningByServer.delete(serverId);
+    } else {
+      this.#runningByServer.set(serverId, running - 1);
+    }
+    const pool = this.#pools.get(backendId);
+    return pool === undefined ? [] : this.#serveWaiting(pool);
+  }
+
+  #onWithdrawn(requestId: number): readonly CoreMessage[] {
+    const backendId = this.#backendByWaitingRequest.get(requestId);
+    if (backendId === undefined) {
+      return this.#freeSlot(requestId);
+    }
+    this.#backendByWaitingRequest.delete(requestId);
+    this.#pools.get(backendId)?.queue.remove(requestId);
+    return [];
+  }
+
+  #serveWaiting(pool: Pool): readonly CoreMessage[] {
+    const messages: CoreMessage[] = [];
+    for (;;) {
+      let granted: CoreMessage | undefined;
+      const request = pool.queue.take((waiting) => {
+        granted = this.#grant(pool, waiting);
+        return granted !== undefined;
+      });
+      if (request === undefined || granted === undefined) {
+        return messages;
+      }
+      this.#backendByWaitingRequest.delete(request.requestId);
+      messages.push(granted);
+    }
+  }
+
+  #grant(
+    pool: Pool,
+    {requestId, excludedServerIds}: WaitingRequest,
+  ): CoreMessage | undefined {
+    const candidates = this.#candidates(pool);
+    const untried = candidates.filter(
+      ({serverId}) => !excludedServerIds.includes(serverId),
+    );
+    const server = this.#options.choice.choose(untried.length > 0 ? untried : candidates);
+    if (server === undefined) {
+      return undefined;
+    }
+    this.#runningByServer.set(server.serverId, server.runningAttempts + 1);
+    this.#grantByRequest.set(requestId, {
+      serverId: server.serverId,
+      backendId: pool.backend.id,
+    });
+    return {
+      type: 'serverGranted',
+      requestId,
+      serverId: server.serverId,
+      origin: server.origin,
+    };
+  }
+
+  #candidates({backend, servers}: Pool): ServerCandidate[] {
+    const candidates: ServerCandidate[] = [];
+    for (const {serverId, origin, dataCentre, isInService} of servers) {
+      const runningAttempts = this.#runningByServer.get(serverId) ?? 0;
+      if (isInService && runningAttempts < backend.slotsPerServer) {
+        candidates.push({serverId, origin, dataCentre, runningAttempts, weight: 1});
+      }
+    }
+    return candidates;
+  }
+}
--- /dev/null
+++ b/packages/core/src/time/seededRandom.ts
@@ -0,0 +1,17 @@
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import type {RandomGenerator} from 'pure-rand/types/RandomGenerator';
+import type {RandomSource} from './randomSource.ts';
+
+/** Random numbers that repeat for the same seed. */
+export class SeededRandom implements RandomSource {
+  readonly #generator: RandomGenerator;
+
+  constructor(seed: number) {
+    this.#generator = xoroshiro128plus(seed);
+  }
+
+  below(limit: number): number {
+    return uniformInt(this.#generator, 0, limit - 1);
+  }
+}
--- /dev/null
+++ b/packages/document/src/index.ts
@@ -0,0 +1,22 @@
+/** The published document, its parts, and the settings of a host: schemas, types and checks. */
+export {documentSchema} from './documentSchema.ts';
+export type {
+  Backend,
+  BackendServer,
+  Customer,
+  DataCentre,
+  FleetDocument,
+  Route,
+} from './documentSchema.ts';
+export {checkDocument} from './checkDocument.ts';
+export type {Fault} from './fault.ts';
+export {formatFault} from './fault.ts';
+export {manifestSchema, hostListSchema} from './publishedSchemas.ts';
+export type {HostList, ListedHost, Manifest, ManifestPart} from './publishedSchemas.ts';
+export {splitDocument} from './splitDocument.ts';
+export type {DigestFunction, SplitDocument} from './splitDocument.ts';
+export {joinDocument} from './joinDocument.ts';
+export {settingsSchema, DEFAULT_SETTINGS} from './settingsSchema.ts';
+export type {HostSettings} from './settingsSchema.ts';
+export {parseSettings} from './parseSettings.ts';
+export {isIdempotent} from './isIdempotent.ts';
--- /dev/null
+++ b/packages/document/src/joinDocument.ts
@@ -0,0 +1,55 @@
+import {err} from 'neverthrow';
+import type {Result} from 'neverthrow';
+import {checkDocument} from './checkDocument.ts';
+import type {FleetDocument} from './documentSchema.ts';
+import type {Fault} from './fault.ts';
+import type {Manifest} from './publishedSchemas.ts';
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Puts a document together from its parts and checks it whole.
+ *
+ * Every part named by the manifest must be in `texts`, already verified against its digest.
+ */
+export function joinDocument(
+  manifest: Manifest,
+  texts: ReadonlyMap<string, string>,
+): Result<FleetDocument, Fault[]> {
+  let head: object = {};
+  const lists = {
+    customers: [] as unknown[],
+    backends: [] as unknown[],
+    routes: [] as unknown[],
+  };
+  for (const {kind, sha256} of manifest.parts) {
+    const value = parseJson(texts.get(sha256) ?? '');
+    if (kind === 'head' && typeof value === 'object' && value !== null) {
+      head = value;
+      continue;
+    }
+    if (kind !== 'head' && Array.isArray(value)) {
+      lists[kind].push(...(value as unknown[]));
+      continue;
+    }
+    return err([
+      {
+        path: `parts.${sha256}`,
+        value: kind,
+        message: 'part is missing or no JSON of its kind; publish it again',
+      },
+    ]);
+  }
+  const checked = checkDocument({...head, ...lists});
+  if (checked.isOk() && checked.value.version !== manifest.version) {
+    const message = `manifest names version ${manifest.version}; publish manifest and parts of one version`;
+    return err([{path: 'version', value: String(checked.value.version), message}]);
+  }
+  return checked;
+}
--- /dev/null
+++ b/packages/document/src/parseSettings.ts
@@ -0,0 +1,24 @@
+import {err, ok} from 'neverthrow';
+import type {Result} from 'neverthrow';
+import {parse} from 'smol-toml';
+import type {Fault} from './fault.ts';
+import {faultsFromZod} from './faultsFromZod.ts';
+import {settingsSchema} from './settingsSchema.ts';
+import type {HostSettings} from './settingsSchema.ts';
+
+function parseToml(text: string): Result<unknown, Fault[]> {
+  try {
+    return ok(parse(text));
+  } catch (cause) {
+    const message = cause instanceof Error ? cause.message : String(cause);
+    return err([{path: '(root)', value: 'text', message: `is not TOML: ${message}`}]);
+  }
+}
+
+/** Reads the settings of a host from TOML; lists every fault found. */
+export function parseSettings(text: string): Result<HostSettings, Fault[]> {
+  return parseToml(text).andThen((input) => {
+    const parsed = settingsSchema.safeParse(input);
+    return parsed.success ? ok(parsed.data) : err(faultsFromZod(parsed.error, input));
+  });
+}
--- /dev/null
+++ b/packages/proxy/src/admin/adminTask.ts
@@ -0,0 +1,47 @@
+import type {Server} from 'node:http';
+import {createAdaptorServer} from '@hono/node-server';
+import {Hono} from 'hono';
+
+export interface AdminTaskOptions {
+  readonly listenHost: string;
+  readonly listenPort: number;
+  readonly counters: () => Record<string, number>;
+  /** Status by section, as the tasks of the core tell it. */
+  readonly status: () => Record<string, Record<string, unknown>>;
+}
+
+/** Owns the operators' port of a host. */
+export class AdminTask {
+  readonly #options: AdminTaskOptions;
+  #server: Server | undefined;
+
+  constructor(options: AdminTaskOptions) {
+    this.#options = options;
+  }
+
+  async start(): Promise<void> {
+    const {listenHost, listenPort, counters, status} = this.#options;
+    const app = new Hono();
+    app.get('/-/live', (context) => context.json({isLive: true}));
+    app.get('/-/ready', (context) => {
+      const isReady = status().requests?.isReady === true;
+      return context.json({isReady}, isReady ? 200 : 503);
+    });
+    app.get('/-/metrics', (context) => context.json(counters()));
+    app.get('/-/status', (context) => context.json(status()));
+    const server = createAdaptorServer({
+      fetch: app.fetch,
+      overrideGlobalObjects: false,
+    }) as Server;
+    this.#server = server;
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(listenPort, listenHost, resolve);
+    });
+  }
+
+  stop(): void {
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -0,0 +1,416 @@
+import {createHash} from 'node:crypto';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+import {pipeline} from 'node:stream/promises';
+import {createAdaptorServer} from '@hono/node-server';
+import type {HttpBindings} from '@hono/node-server';
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
+import type {
+  ErrorKind,
+  HostEffect,
+  HostEvent,
+  RefuseRequest,
+  StartAttempt,
+} from '@godwitspring/core';
+import {Hono} from 'hono';
+import type {BackendCommand} from '../backends/backendMessages.ts';
+import {Mailbox} from '../task/mailbox.ts';
+import type {TimerService} from '../timer/timerService.ts';
+import {BodyGuard} from './bodyGuard.ts';
+import type {Exchange, PendingAnswer} from './exchange.ts';
+import {
+  customerHeader,
+  deadlineHeader,
+  endToEndHeaders,
+  requestIdHeader,
+} from './headers.ts';
+import {problemBody, problemContentType} from './problemBody.ts';
+import {readRequestTarget} from './requestTarget.ts';
+import {readSmallBody} from './readSmallBody.ts';
+
+/** Effects of the core that concern callers, and answers of backend servers. */
+export type CallerCommand =
+  | Extract<
+      HostEffect,
+      {type: 'startAttempt' | 'deliverAnswer' | 'discardAnswer' | 'refuseRequest'}
+    >
+  | {
+      readonly type: 'answerArrived';
+      readonly requestId: number;
+      readonly answer: PendingAnswer;
+    };
+
+export interface CallerTaskOptions {
+  readonly selfId: string;
+  readonly listenHost: string;
+  readonly listenPort: number;
+  readonly keyHeader: string;
+  readonly maxHeadBytes: number;
+  readonly headTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+  readonly bodyIdleTimeoutMs: number;
+  readonly timers: TimerService;
+  readonly tell: (event: HostEvent) => void;
+  readonly run: (command: BackendCommand) => void;
+  readonly count: (name: string, tags?: Record<string, string>) => void;
+}
+
+/** Bodies up to this size are kept until the answer, so that they can be sent again, in bytes. */
+const maxReplayableBytes = 65_536;
+
+/** Owns the sockets to callers: reads requests, sends answers and refusals. */
+export class CallerTask {
+  readonly #options: CallerTaskOptions;
+  readonly #exchanges = new Map<number, Exchange>();
+  readonly #mailbox = new Mailbox<CallerCommand>((command) => {
+    this.#take(command);
+  });
+  #server: Server | undefined;
+  #nextRequestId = 1;
+  #onIdle: (() => void) | undefined;
+
+  constructor(options: CallerTaskOptions) {
+    this.#options = options;
+  }
+
+  post(command: CallerCommand): void {
+    this.#mailbox.post(command);
+  }
+
+  async start(): Promise<void> {
+    const app = new Hono<{Bindings: HttpBindings}>();
+    app.all('*', async (context) => {
+      await this.#onRequest(context.env.incoming, context.env.outgoing);
+      return RESPONSE_ALREADY_SENT;
+    });
+    const {maxHeadBytes, headTimeoutMs, idleTimeoutMs, listenHost, listenPort} =
+      this.#options;
+    const server = createAdaptorServer({
+      fetch: app.fetch,
+      overrideGlobalObjects: false,
+      serverOptions: {
+        maxHeaderSize: maxHeadBytes,
+        headersTimeout: headTimeoutMs,
+        keepAliveTimeout: idleTimeoutMs,
+        requestTimeout: 0,
+        connectionsCheckingInterval: 1_000,
+      },
+    }) as Server;
+    this.#server = server;
+    server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+      this.#onClientError(error, socket);
+    });
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(listenPort, listenHost, resolve);
+    });
+  }
+
+  get inProgress(): number {
+    return this.#exchanges.size;
+  }
+
+  /** Takes no new connections, and closes each connection after the request that runs on it. */
+  async drain(): Promise<void> {
+    this.#server?.close();
+    this.#server?.closeIdleConnections();
+    if (this.#exchanges.size === 0) {
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      this.#onIdle = resolve;
+    });
+  }
+
+  stop(): void {
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+  }
+
+  async #onRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    const requestId = this.#nextRequestId;
+    this.#nextRequestId += 1;
+    const publicId = `${this.#options.selfId}-${requestId}`;
+    const target = readRequestTarget(incoming.url ?? '', incoming.headers.host);
+    if (target.isErr()) {
+      this.#refuseRaw(incoming, outgoing, 'malformed-request', publicId, target.error);
+      return;
+    }
+    const {host, path, pathAndQuery} = target.value;
+    const arrivedAtMs = this.#options.timers.nowMs();
+    const bodyBytes = this.#announcedBytes(incoming);
+    const isSmall = bodyBytes !== undefined && bodyBytes <= maxReplayableBytes;
+    const bufferedBody = isSmall
+      ? await this.#readBody(incoming, outgoing, publicId)
+      : undefined;
+    if (isSmall && bufferedBody === undefined) {
+      return;
+    }
+    this.#exchanges.set(requestId, {
+      requestId,
+      publicId,
+      incoming,
+      outgoing,
+      pathAndQuery,
+      bufferedBody,
+      hasStreamedBody: !isSmall,
+      answer: undefined,
+      arrivedAtMs,
+    });
+    outgoing.once('close', () => {
+      this.#onClosed(requestId);
+    });
+    this.#options.tell({
+      type: 'requestArrived',
+      requestId,
+      host,
+      path,
+      method: incoming.method ?? 'GET',
+      keyDigest: this.#keyDigest(incoming),
+      idempotencyKey: this.#singleHeader(incoming, 'idempotency-key'),
+      bodyBytes,
+      isReplayable: isSmall,
+      budgetMs: this.#budgetMs(incoming),
+      requestDigest: this.#requestDigest(incoming, bufferedBody),
+    });
+  }
+
+  async #readBody(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    publicId: string,
+  ): Promise<Buffer | undefined> {
+    const {timers, bodyIdleTimeoutMs} = this.#options;
+    try {
+      return await readSmallBody(incoming, {timers, idleMs: bodyIdleTimeoutMs});
+    } catch {
+      this.#options.count('caller.bodyBroken');
+      this.#refuseRaw(incoming, outgoing, 'caller-too-slow', publicId, undefined);
+      return undefined;
+    }
+  }
+
+  /** Size of the body that follows, in bytes; undefined where it comes in chunks. */
+  #announcedBytes({headers}: IncomingMessage): number | undefined {
+    if (headers['transfer-encoding'] !== undefined) {
+      return undefined;
+    }
+    return Number(headers['content-length'] ?? 0);
+  }
+
+  #singleHeader({headers}: IncomingMessage, name: string): string | undefined {
+    const value = headers[name];
+    return typeof value === 'string' && value !== '' ? value : undefined;
+  }
+
+  #keyDigest(incoming: IncomingMessage): string | undefined {
+    const key = this.#singleHeader(incoming, this.#options.keyHeader);
+    return key === undefined ? undefined : createHash('sha256').update(key).digest('hex');
+  }
+
+  #budgetMs(incoming: IncomingMessage): number | undefined {
+    const budgetMs = Number(this.#singleHeader(incoming, deadlineHeader) ?? Number.NaN);
+    return Number.isFinite(budgetMs) && budgetMs >= 0 ? budgetMs : undefined;
+  }
+
+  /** Names repeats of the same request; a streamed body counts by its announced size. */
+  #requestDigest(incoming: IncomingMessage, body: Buffer | undefined): string {
+    const hash = createHash('sha256').update(
+      `${incoming.method ?? ''} ${incoming.url ?? ''}\n`,
+    );
+    hash.update(body ?? String(this.#announcedBytes(incoming)));
+    return hash.digest('hex').slice(0, 32);
+  }
+
+  #take(command: CallerCommand): void {
+    const exchange = this.#exchanges.get(command.requestId);
+    if (exchange === undefined) {
+      if (command.type === 'answerArrived') {
+        command.answer.body.destroy();
+      }
+      return;
+    }
+    switch (command.type) {
+      case 'startAttempt':
+        this.#startAttempt(exchange, command);
+        return;
+      case 'answerArrived':
+        exchange.answer = command.answer;
+        return;
+      case 'discardAnswer':
+        this.#discard(exchange, command.attempt);
+        return;
+      case 'deliverAnswer':
+        void this.#deliver(exchange, command.attempt);
+        return;
+      case 'refuseRequest':
+        this.#refuse(exchange, command);
+        return;
+    }
+  }
+
+  #startAttempt(exchange: Exchange, command: StartAttempt): void {
+    const {incoming, publicId, pathAndQuery, bufferedBody, hasStreamedBody} = exchange;
+    const attemptName = `${publicId}.${command.attempt}`;
+    const dropped = [
+      this.#options.keyHeader,
+      customerHeader,
+      requestIdHeader,
+      deadlineHeader,
+      'expect',
+    ];
+    const headers = endToEndHeaders(incoming.headers, dropped);
+    headers[requestIdHeader] = attemptName;
+    headers[deadlineHeader] = String(Math.max(0, Math.floor(command.timeoutMs)));
+    if (command.customerId !== undefined) {
+      headers[customerHeader] = command.customerId;
+    }
+    const body = hasStreamedBody
+      ? this.#guarded(incoming, command.maxBodyBytes)
+      : bufferedBody;
+    this.#options.run({
+      type: 'run',
+      requestId: exchange.requestId,
+      attempt: command.attempt,
+      attemptName,
+      serverId: command.serverId,
+      origin: command.origin,
+      method: incoming.method ?? 'GET',
+      pathAndQuery,
+      headers,
+      body: body instanceof Buffer && body.length === 0 ? undefined : body,
+      timeoutMs: command.timeoutMs,
+      notRunHeader: command.notRunHeader,
+    });
+  }
+
+  #guarded(incoming: IncomingMessage, maxBodyBytes: number): BodyGuard {
+    const {timers, bodyIdleTimeoutMs} = this.#options;
+    const guard = new BodyGuard({timers, maxBodyBytes, idleMs: bodyIdleTimeoutMs});
+    pipeline(incoming, guard).catch(() => {
+      // The backend task sees the broken guard and reports it.
+    });
+    return guard;
+  }
+
+  #discard(exchange: Exchange, attempt: number): void {
+    if (exchange.answer?.attempt === attempt) {
+      exchange.answer.body.on('error', () => undefined).destroy();
+      exchange.answer = undefined;
+    }
+  }
+
+  async #deliver(exchange: Exchange, attempt: number): Promise<void> {
+    const {requestId, outgoing, publicId, answer} = exchange;
+    if (answer?.attempt !== attempt) {
+      return;
+    }
+    outgoing.writeHead(answer.status, {...answer.headers, [requestIdHeader]: publicId});
+    try {
+      await pipeline(answer.body, outgoing);
+      this.#forget(requestId);
+      this.#options.tell({type: 'attemptFinished', requestId, attempt});
+    } catch {
+      // The head went out; only a broken connection tells the caller that the answer is not whole.
+      this.#forget(requestId);
+      outgoing.destroy();
+      this.#options.count('caller.answerBroken');
+      this.#options.tell({
+        type: 'attemptFailed',
+        requestId,
+        attempt,
+        failure: 'lost',
+        mayHaveRun: true,
+      });
+    }
+  }
+
+  #refuse(
+    exchange: Exchange,
+    {requestId, kind, outcome, retryAfterMs}: RefuseRequest,
+  ): void {
+    this.#forget(requestId);
+    const {outgoing, incoming, publicId} = exchange;
+    if (outgoing.headersSent || outgoing.destroyed) {
+      outgoing.destroy();
+      return;
+    }
+    this.#writeProblem(incoming, outgoing, kind, {
+      outcome,
+      retryAfterMs,
+      requestId: publicId,
+    });
+  }
+
+  #refuseRaw(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    kind: ErrorKind,
+    requestId: string,
+    detail: string | undefined,
+  ): void {
+    this.#options.count('request.refused', {kind});
+    if (!outgoing.destroyed) {
+      this.#writeProblem(incoming, outgoing, kind, {
+        outcome: 'not-run',
+        requestId,
+        detail,
+      });
+    }
+  }
+
+  #writeProblem(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    kind: ErrorKind,
+    options: Parameters<typeof problemBody>[1] & object,
+  ): void {
+    const problem = problemBody(kind, options);
+    const headers: Record<string, string> = {
+      'content-type': problemContentType,
+      [requestIdHeader]: options.requestId ?? '',
+    };
+    if (options.retryAfterMs !== undefined) {
+      headers['retry-after'] = String(Math.ceil(options.retryAfterMs / 1_000));
+    }
+    const isBodyUnread = !incoming.complete;
+    if (isBodyUnread) {
+      headers.connection = 'close';
+    }
+    outgoing.writeHead(problem.status, headers);
+    outgoing.end(JSON.stringify(problem), () => {
+      if (isBodyUnread) {
+        incoming.destroy();
+      }
+    });
+  }
+
+  #onClosed(requestId: number): void {
+    if (this.#exchanges.has(requestId)) {
+      this.#forget(requestId);
+      this.#options.tell({type: 'callerLeft', requestId});
+    }
+  }
+
+  #forget(requestId: number): void {
+    this.#exchanges.delete(requestId);
+    if (this.#exchanges.size === 0) {
+      this.#onIdle?.();
+    }
+  }
+
+  #onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+    const kind =
+      error.code === 'HPE_HEADER_OVERFLOW' ? 'head-too-large' : 'malformed-request';
+    this.#options.count('request.refused', {kind});
+    if (!socket.writable) {
+      return;
+    }
+    const problem = problemBody(kind);
+    const body = JSON.stringify(problem);
+    socket.end(
+      `HTTP/1.1 ${problem.status} Refused\r\ncontent-type: ${problemContentType}\r\n` +
+        `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
+    );
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/host/proxyHost.ts
@@ -0,0 +1,238 @@
+import {HostCore, SeededRandom} from '@godwitspring/core';
+import type {HashFunction, HostEffect} from '@godwitspring/core';
+import type {HostSettings} from '@godwitspring/document';
+import {PeerTask} from '@godwitspring/peer';
+import type {PeerReport} from '@godwitspring/peer';
+import type {Logger} from 'pino';
+import {AdminTask} from '../admin/adminTask.ts';
+import {BackendTask} from '../backends/backendTask.ts';
+import {CallerTask} from '../callers/callerTask.ts';
+import {MetricsTask} from '../metrics/metricsTask.ts';
+import {HttpPlatform} from '../platform/httpPlatform.ts';
+import {PlatformTask} from '../platform/platformTask.ts';
+import {SystemTimerService} from '../timer/systemTimerService.ts';
+import {CoreRunner} from './coreRunner.ts';
+import {splitAddress} from './splitAddress.ts';
+
+export interface ProxyHostOptions {
+  readonly settings: HostSettings;
+  readonly log: Logger;
+  readonly hash: HashFunction;
+  /** Seed of all random choices of this host. */
+  readonly seed: number;
+}
+
+/** Time left after the last request for the peers to take allowances back, in ms. */
+const handBackMs = 600;
+const idleCheckMs = 10;
+
+/** One host: the core and the tasks round it. */
+export class ProxyHost {
+  readonly #options: ProxyHostOptions;
+  readonly #timers = new SystemTimerService();
+  readonly #metrics: MetricsTask;
+  readonly #runner: CoreRunner;
+  readonly #callers: CallerTask;
+  readonly #backends: BackendTask;
+  readonly #peers: PeerTask;
+  readonly #platform: HttpPlatform;
+  readonly #platformTask: PlatformTask;
+  readonly #admin: AdminTask;
+  #isStopping = false;
+
+  constructor(options: ProxyHostOptions) {
+    this.#options = options;
+    const {settings, hash, seed} = options;
+    const {id: selfId} = settings.host;
+    const timers = this.#timers;
+    const random = new SeededRandom(seed);
+    const tell: CoreRunner['tell'] = (event) => {
+      this.#runner.tell(event);
+    };
+    this.#metrics = new MetricsTask({
+      selfId,
+      statsd:
+        settings.metrics.statsd === undefined
+          ? undefined
+          : splitAddress(settings.metrics.statsd),
+      intervalMs: settings.metrics.intervalMs,
+    });
+    const count: MetricsTask['count'] = (name, tags) => {
+      this.#metrics.count(name, tags);
+    };
+    const core = new HostCore({
+      selfId,
+      dataCentre: settings.host.dataCentre,
+      random,
+      hash,
+    });
+    this.#runner = new CoreRunner({
+      core,
+      timers,
+      dispatch: (effect) => {
+        this.#dispatch(effect);
+      },
+    });
+    this.#backends = new BackendTask({
+      timers,
+      tell,
+      answer: (requestId, answer) => {
+        this.#callers.post({type: 'answerArrived', requestId, answer});
+      },
+    });
+    this.#callers = new CallerTask({
+      ...settings.callers,
+      selfId,
+      ...this.#listen(settings.listen.callers),
+      timers,
+      tell,
+      run: (command) => {
+        this.#backends.post(command);
+      },
+      count,
+    });
+    this.#peers = new PeerTask({
+      ...settings.peers,
+      selfId,
+      ...this.#listen(settings.listen.peers),
+      report: (report) => {
+        this.#onPeerReport(report);
+      },
+    });
+    this.#platform = new HttpPlatform({origins: settings.platform.origins});
+    this.#platformTask = new PlatformTask({
+      ...settings.platform,
+      platform: this.#platform,
+      timers,
+      random: new SeededRandom(seed + 1),
+      tell,
+      count,
+    });
+    this.#admin = new AdminTask({
+      ...this.#listen(settings.listen.admin),
+      counters: () => this.#metrics.counters.snapshot(),
+      status: () => this.#runner.status(),
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.#admin.start();
+    await this.#peers.start();
+    await this.#callers.start();
+    this.#platformTask.start();
+    const {settings, log} = this.#options;
+    log.info({
+      event: 'host.started',
+      listen: settings.listen,
+      dataCentre: settings.host.dataCentre,
+    });
+  }
+
+  /** Stops without cutting a request; gives up when the grace time is over. */
+  async stop(): Promise<void> {
+    if (this.#isStopping) {
+      return;
+    }
+    this.#isStopping = true;
+    const {settings, log} = this.#options;
+    log.info({event: 'host.stopping', inProgress: this.#callers.inProgress});
+    const deadline = this.#wait(settings.shutdown.graceMs).then(() => 'cut' as const);
+    const drained = this.#callers.drain().then(() => 'drained' as const);
+    this.#runner.tell({type: 'shutdownWanted'});
+    const result = await Promise.race([drained, deadline]);
+    await this.#wait(handBackMs);
+    log.info({event: 'host.stopped', result});
+    await this.#close();
+  }
+
+  async #close(): Promise<void> {
+    this.#platformTask.stop();
+    this.#callers.stop();
+    this.#admin.stop();
+    await this.#peers.stop();
+    await this.#platform.stop();
+    await this.#backends.stop();
+    await this.#metrics.stop();
+    this.#timers.stop();
+  }
+
+  async #wait(waitMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.#timers.at(this.#timers.nowMs() + Math.max(waitMs, idleCheckMs), resolve);
+    });
+  }
+
+  #listen(address: string): {listenHost: string; listenPort: number} {
+    const {host, port} = splitAddress(address);
+    return {listenHost: host, listenPort: port};
+  }
+
+  #dispatch(effect: HostEffect): void {
+    switch (effect.type) {
+      case 'startAttempt':
+      case 'deliverAnswer':
+      case 'discardAnswer':
+      case 'refuseRequest':
+        this.#callers.post(effect);
+        return;
+      case 'cancelAttempt':
+      case 'sendProbe':
+        this.#backends.post(effect);
+        return;
+      case 'readPart':
+        this.#readPart(effect.sha256, effect.fromHostId);
+        return;
+      case 'sendToPeer':
+        this.#metrics.count('peer.sent', {type: effect.message.type});
+        this.#peers.send(effect.toHostId, effect.message);
+        return;
+      case 'linkPeers':
+        this.#peers.setHosts(effect.list.hosts);
+        return;
+      case 'count':
+        this.#metrics.count(effect.name, effect.tags, effect.by);
+        return;
+      case 'log':
+        this.#options.log[effect.level]({event: effect.event, ...effect.fields});
+        return;
+      default:
+        return;
+    }
+  }
+
+  #readPart(sha256: string, fromHostId: string | undefined): void {
+    if (fromHostId === undefined) {
+      this.#platformTask.readPart(sha256);
+      return;
+    }
+    this.#peers.send(fromHostId, {type: 'partAsk', sha256});
+  }
+
+  #onPeerReport(report: PeerReport): void {
+    switch (report.type) {
+      case 'bytes':
+        this.#metrics.count('peer.bytes', {direction: report.direction}, report.count);
+        return;
+      case 'refused':
+        this.#metrics.count('peer.refused', {reason: report.reason});
+        this.#options.log.warn({
+          event: 'peer.refused',
+          fromHostId: report.fromHostId,
+          reason: report.reason,
+        });
+        return;
+      case 'received':
+        this.#onPeerMessage(report);
+        return;
+    }
+  }
+
+  /** A part is told to the core like one from the platform, after the same check of its digest. */
+  #onPeerMessage({fromHostId, message}: Extract<PeerReport, {type: 'received'}>): void {
+    if (message.type === 'partAnswer') {
+      this.#platformTask.takePart(message.sha256, message.text);
+      return;
+    }
+    this.#runner.tell({type: 'peerMessageReceived', fromHostId, message});
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/host/splitAddress.ts
@@ -0,0 +1,6 @@
+/** Splits `IP:port`; an IPv6 number stands in brackets. */
+export function splitAddress(address: string): {host: string; port: number} {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
+  return {host, port: Number(address.slice(colon + 1))};
+}
--- /dev/null
+++ b/packages/proxy/src/index.ts
@@ -0,0 +1,12 @@
+/** A host with its sockets, files and timers. */
+export {ProxyHost} from './host/proxyHost.ts';
+export type {ProxyHostOptions} from './host/proxyHost.ts';
+export {createLog} from './host/createLog.ts';
+export {loadXxHash} from './host/xxHash.ts';
+export {splitAddress} from './host/splitAddress.ts';
+export {customerHeader, deadlineHeader, requestIdHeader} from './callers/headers.ts';
+export {Mailbox} from './task/mailbox.ts';
+export type {TimerService, TimerSubscription} from './timer/timerService.ts';
+export {SystemTimerService} from './timer/systemTimerService.ts';
+export type {Platform, HostListAnswer} from './platform/platform.ts';
+export {HttpPlatform} from './platform/httpPlatform.ts';
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,57 @@
+// Builds dist/godwitspring: one executable with the bundle and the machine's own node.
+import {execFileSync} from 'node:child_process';
+import {
+  chmodSync,
+  copyFileSync,
+  mkdirSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import {build} from 'esbuild';
+import {inject} from 'postject';
+
+/** Optional native add-ons: their users fall back when the module fails to load. */
+const withoutNativeAddOns = {
+  name: 'without-native-add-ons',
+  setup(bundle) {
+    const filter = /^(unix-dgram|msgpackr-extract|bufferutil|utf-8-validate)$/;
+    bundle.onResolve({filter}, ({path}) => ({path, namespace: 'absent'}));
+    bundle.onLoad({filter: /.*/, namespace: 'absent'}, ({path}) => ({
+      contents: `throw new Error('${path} is not part of this binary');`,
+    }));
+  },
+};
+
+const outFile = 'dist/godwitspring';
+rmSync('dist', {recursive: true, force: true});
+mkdirSync('dist');
+await build({
+  entryPoints: ['packages/cli/src/main.ts'],
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  outfile: 'dist/godwitspring.cjs',
+  plugins: [withoutNativeAddOns],
+  logLevel: 'warning',
+});
+writeFileSync(
+  'dist/sea.json',
+  JSON.stringify({
+    main: 'dist/godwitspring.cjs',
+    output: 'dist/godwitspring.blob',
+    disableExperimentalSEAWarning: true,
+  }),
+);
+execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], {
+  stdio: 'ignore',
+});
+copyFileSync(process.execPath, outFile);
+chmodSync(outFile, 0o755);
+await inject(outFile, 'NODE_SEA_BLOB', readFileSync('dist/godwitspring.blob'), {
+  sentinelFuse: 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2',
+});
+for (const file of ['godwitspring.cjs', 'sea.json', 'godwitspring.blob']) {
+  rmSync(`dist/${file}`);
+}
--- /dev/null
+++ b/scripts/totalsReporter.cjs
@@ -0,0 +1,18 @@
+'use strict';
+// Mocha reporter that prints the spec report and ends with "N passed, N failed".
+const {reporters} = require('mocha');
+
+class TotalsReporter extends reporters.Spec {
+  constructor(runner, options) {
+    super(runner, options);
+    runner.once('end', () => {
+      setImmediate(() => {
+        process.stdout.write(
+          `\n${this.stats.passes} passed, ${this.stats.failures} failed\n`,
+        );
+      });
+    });
+  }
+}
+
+module.exports = TotalsReporter;
