--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,10 +30,7 @@
     rules: {
       '@typescript-eslint/no-floating-promises': 'error',
       '@typescript-eslint/no-misused-promises': 'error',
-      '@typescript-eslint/consistent-type-imports': [
-        'error',
-        {fixStyle: 'separate-type-imports'},
-      ],
+      '@typescript-eslint/consistent-type-imports': ['error', {fixStyle: 'separate-type-imports'}],
       '@typescript-eslint/no-extraneous-class': 'off',
       'no-restricted-syntax': [
         'error',
--- a/packages/bench/src/__tests__/wholePath.test.ts
+++ b/packages/bench/src/__tests__/wholePath.test.ts
@@ -32,9 +32,7 @@
     });
     fleet.run(settleMs);
     for (let index = 0; index < 40; index += 1) {
-      fleet.after(index * 500, () =>
-        fleet.request(`host-${1 + ((index * 7) % 48)}`, 'small'),
-      );
+      fleet.after(index * 500, () => fleet.request(`host-${1 + ((index * 7) % 48)}`, 'small'));
     }
     fleet.run(21_000);
     expect(fleet.outcomes.filter(({status}) => status === 200)).to.have.length(40);
--- a/packages/bench/src/fleet/memoryFleet.ts
+++ b/packages/bench/src/fleet/memoryFleet.ts
@@ -1,11 +1,6 @@
 import {createHash} from 'node:crypto';
 import {HostCore, SeededRandom} from '@godwitspring/core';
-import type {
-  HashFunction,
-  HostCoreOptions,
-  HostEffect,
-  PeerMessage,
-} from '@godwitspring/core';
+import type {HashFunction, HostCoreOptions, HostEffect, PeerMessage} from '@godwitspring/core';
 import {splitDocument} from '@godwitspring/document';
 import type {FleetDocument, HostList, Manifest} from '@godwitspring/document';
 import {EventQueue} from './eventQueue.ts';
@@ -65,10 +60,7 @@
   onMessage: () => undefined,
 } as const;
 
-type RequiredOptions = Pick<
-  MemoryFleetOptions,
-  'hostCount' | 'document' | 'hash' | 'seed'
->;
+type RequiredOptions = Pick<MemoryFleetOptions, 'hostCount' | 'document' | 'hash' | 'seed'>;
 
 const watchMs = 1_500;
 const healthyServer: ServerBehaviour = {
@@ -103,14 +95,10 @@
   isPlatformDown = false;
   readonly #options: MemoryFleetOptions;
   readonly #random: SeededRandom;
-  readonly #open = new Map<
-    string,
-    {name: string; customerId: string; arrivedAtMs: number}
-  >();
+  readonly #open = new Map<string, {name: string; customerId: string; arrivedAtMs: number}>();
   #lists: HostList[] = [];
   #manifest: Manifest | undefined;
-  #frozen:
-    {lists: HostList[]; manifest: Manifest | undefined; asOfMs: number} | undefined;
+  #frozen: {lists: HostList[]; manifest: Manifest | undefined; asOfMs: number} | undefined;
   readonly #parts = new Map<string, string>();
   #nextRequestId = 1;
   #startedHosts = 0;
@@ -133,10 +121,7 @@
       }
     }
     this.publish(options.document);
-    const names = Array.from(
-      {length: options.hostCount},
-      (_, index) => `host-${index + 1}`,
-    );
+    const names = Array.from({length: options.hostCount}, (_, index) => `host-${index + 1}`);
     this.#publishList(names);
     for (const name of names) {
       this.startHost(name);
@@ -261,18 +246,12 @@
   }
 
   /** Long polls in turn, as the shell does; a change is seen at the next poll of 100 ms. */
-  #watch(
-    host: MemoryHost,
-    listVersion: number,
-    manifestVersion: number,
-    waitedMs = watchMs,
-  ): void {
+  #watch(host: MemoryHost, listVersion: number, manifestVersion: number, waitedMs = watchMs): void {
     const pollMs = 100;
     if (!host.isUp) {
       return;
     }
-    const isCut =
-      this.link.isCut(platformName, host.id) || this.link.isCut(host.id, platformName);
+    const isCut = this.link.isCut(platformName, host.id) || this.link.isCut(host.id, platformName);
     if (this.isPlatformDown || isCut) {
       this.after(pollMs * 10, () => {
         this.#watch(host, listVersion, manifestVersion);
@@ -285,9 +264,7 @@
       asOfMs: this.queue.nowMs,
     };
     const newLists =
-      listVersion < 0
-        ? lists.slice(-1)
-        : lists.filter(({version}) => version > listVersion);
+      listVersion < 0 ? lists.slice(-1) : lists.filter(({version}) => version > listVersion);
     const hasNews = newLists.length > 0 || manifest?.version !== manifestVersion;
     const askedAtMs = host.nowMs() - (hasNews ? 0 : waitedMs);
     const isDue = hasNews || waitedMs >= watchMs;
@@ -306,12 +283,7 @@
     }
     this.after(pollMs, () => {
       const version = Math.max(listVersion, lists.at(-1)?.version ?? -1);
-      this.#watch(
-        host,
-        version,
-        manifest?.version ?? -1,
-        isDue ? pollMs : waitedMs + pollMs,
-      );
+      this.#watch(host, version, manifest?.version ?? -1, isDue ? pollMs : waitedMs + pollMs);
     });
   }
 
@@ -352,10 +324,7 @@
   }
 
   #count({name, tags, by}: Extract<HostEffect, {type: 'count'}>): void {
-    const keys = [
-      name,
-      ...Object.entries(tags).map(([tag, value]) => `${name}{${tag}=${value}}`),
-    ];
+    const keys = [name, ...Object.entries(tags).map(([tag, value]) => `${name}{${tag}=${value}}`)];
     for (const key of keys) {
       this.counts.set(key, (this.counts.get(key) ?? 0) + (by ?? 1));
     }
@@ -363,18 +332,12 @@
 
   #delayMs(from: string, to: string): number {
     const {localDelayMs, remoteDelayMs} = this.#options;
-    return this.dataCentreOf(from) === this.dataCentreOf(to)
-      ? localDelayMs
-      : remoteDelayMs;
+    return this.dataCentreOf(from) === this.dataCentreOf(to) ? localDelayMs : remoteDelayMs;
   }
 
   #send(host: MemoryHost, toHostId: string, message: PeerMessage): void {
     this.#options.onMessage(host.id, message);
-    for (const delayMs of this.link.arrivals(
-      host.id,
-      toHostId,
-      this.#delayMs(host.id, toHostId),
-    )) {
+    for (const delayMs of this.link.arrivals(host.id, toHostId, this.#delayMs(host.id, toHostId))) {
       this.after(delayMs, () => {
         this.#receive(host.id, toHostId, message);
       });
@@ -411,10 +374,7 @@
     });
   }
 
-  #startAttempt(
-    host: MemoryHost,
-    effect: Extract<HostEffect, {type: 'startAttempt'}>,
-  ): void {
+  #startAttempt(host: MemoryHost, effect: Extract<HostEffect, {type: 'startAttempt'}>): void {
     const {requestId, attempt, serverId} = effect;
     const open = this.#open.get(`${host.id}/${requestId}`);
     const server = this.servers.get(serverId);
@@ -470,8 +430,7 @@
     const server = this.servers.get(serverId);
     const latencyMs = 25;
     this.after(latencyMs, () => {
-      const isReachable =
-        server?.behaviour.isUp === true && !this.link.isCut(host.id, serverId);
+      const isReachable = server?.behaviour.isUp === true && !this.link.isCut(host.id, serverId);
       host.tell({
         type: 'probeAnswered',
         serverId,
--- a/packages/bench/src/fleet/memoryServer.ts
+++ b/packages/bench/src/fleet/memoryServer.ts
@@ -29,10 +29,7 @@
   readonly #waiting: (() => void)[] = [];
   readonly #later: (afterMs: number, run: () => void) => void;
 
-  constructor(
-    behaviour: ServerBehaviour,
-    later: (afterMs: number, run: () => void) => void,
-  ) {
+  constructor(behaviour: ServerBehaviour, later: (afterMs: number, run: () => void) => void) {
     this.behaviour = behaviour;
     this.#later = later;
   }
--- a/packages/bench/src/oracles/idealBucket.ts
+++ b/packages/bench/src/oracles/idealBucket.ts
@@ -5,13 +5,7 @@
   #tokens: number;
   #atMs = 0;
 
-  constructor({
-    ratePerSecond,
-    burstRequests,
-  }: {
-    ratePerSecond: number;
-    burstRequests: number;
-  }) {
+  constructor({ratePerSecond, burstRequests}: {ratePerSecond: number; burstRequests: number}) {
     this.#ratePerSecond = ratePerSecond;
     this.#burst = burstRequests;
     this.#tokens = burstRequests;
@@ -36,10 +30,7 @@
 
   #refill(atMs: number): void {
     const elapsedMs = Math.max(0, atMs - this.#atMs);
-    this.#tokens = Math.min(
-      this.#burst,
-      this.#tokens + (elapsedMs * this.#ratePerSecond) / 1_000,
-    );
+    this.#tokens = Math.min(this.#burst, this.#tokens + (elapsedMs * this.#ratePerSecond) / 1_000);
     this.#atMs = Math.max(atMs, this.#atMs);
   }
 }
--- a/packages/cli/src/checkFile.ts
+++ b/packages/cli/src/checkFile.ts
@@ -17,9 +17,7 @@
 /** Checks one file by its kind; gives every fault found. */
 export function checkFile(file: string, text: string | undefined): readonly Fault[] {
   if (text === undefined) {
-    return [
-      {path: '(file)', value: file, message: 'cannot be read; check name and rights'},
-    ];
+    return [{path: '(file)', value: file, message: 'cannot be read; check name and rights'}];
   }
   if (file.endsWith('.toml')) {
     const parsed = parseSettings(text);
--- a/packages/cli/src/commands/proxyCommand.ts
+++ b/packages/cli/src/commands/proxyCommand.ts
@@ -16,9 +16,7 @@
 
       Exit codes: 0 stopped in order, 1 bad settings or an address in use.
     `,
-    examples: [
-      ['Run a host', 'godwitspring proxy --settings examples/tasas.host-1.toml'],
-    ],
+    examples: [['Run a host', 'godwitspring proxy --settings examples/tasas.host-1.toml']],
   });
 
   settings = Option.String('--settings', {
--- a/packages/cli/src/commands/standinBackendServerCommand.ts
+++ b/packages/cli/src/commands/standinBackendServerCommand.ts
@@ -18,10 +18,7 @@
       Exit codes: 0 stopped by a signal, 1 neither a server nor a good document was given.
     `,
     examples: [
-      [
-        'Run one server',
-        'godwitspring standin backend-server --id a-1 --listen 127.0.0.1:8081',
-      ],
+      ['Run one server', 'godwitspring standin backend-server --id a-1 --listen 127.0.0.1:8081'],
       [
         'Run all servers of an example',
         'godwitspring standin backend-server --document examples/tasas.document.json',
@@ -41,9 +38,7 @@
   override async execute(): Promise<number> {
     const servers = await this.#servers();
     if (servers.length === 0) {
-      this.context.stderr.write(
-        'give --id and --listen, or --document with a good document\n',
-      );
+      this.context.stderr.write('give --id and --listen, or --document with a good document\n');
       return 1;
     }
     for (const server of servers) {
--- a/packages/core/src/allowance/customerDemand.ts
+++ b/packages/core/src/allowance/customerDemand.ts
@@ -17,9 +17,9 @@
 
 /** Tokens that an entry host holds of one customer, and the requests that wait for more. */
 export class CustomerDemand {
-  /** Requests that will want permission, in the order of their arrival. */
-  readonly expected = new Set<number>();
-  /** Requests that want permission now, with the moment they began to wait. */
+  /** Requests that will want permission, with the moments of their arrival. */
+  readonly expected = new Map<number, number>();
+  /** Requests that want permission now, with the moments of their arrival. */
   readonly waiting = new Map<number, number>();
   /** Until when the home has no token for the customer. */
   dryUntilMs = Number.NEGATIVE_INFINITY;
--- a/packages/core/src/allowance/customerStock.ts
+++ b/packages/core/src/allowance/customerStock.ts
@@ -37,8 +37,7 @@
   /** Adds what accrued up to `shareMs` and cuts what the held share of the burst does not cover. */
   settle(share: number, shareMs: number, nowMs: number): void {
     this.#dropExpired(nowMs);
-    const accrued =
-      ((shareMs - this.#accruedToShareMs) * this.#customer.ratePerSecond) / 1_000;
+    const accrued = ((shareMs - this.#accruedToShareMs) * this.#customer.ratePerSecond) / 1_000;
     this.#accruedToShareMs = shareMs;
     const room = Math.max(0, share * this.#customer.burstRequests - this.#outstanding);
     this.#tokens = Math.min(this.#tokens + accrued, room);
--- a/packages/core/src/allowance/entryTask.ts
+++ b/packages/core/src/allowance/entryTask.ts
@@ -12,7 +12,7 @@
 const askTimeoutMs = 150;
 /** Longest wait for a home that does not answer or cannot judge yet, in ms. */
 const patienceMs = 1_500;
-/** Shortest dry spell for which requests are refused; shorter ones are waited out, in ms. */
+/** Longest wait of a request for the next token of its customer, in ms. */
 const waitOutMs = 40;
 
 interface PendingAsk {
@@ -82,30 +82,22 @@
     return demand;
   }
 
-  #onForeseen(
-    requestId: number,
-    customerId: string,
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  #onForeseen(requestId: number, customerId: string, nowMs: number): readonly CoreMessage[] {
     const demand = this.#demandOf(customerId);
     demand.noteArrival(nowMs);
     const retryAfterMs = demand.dryUntilMs - nowMs;
     if (retryAfterMs > waitOutMs && demand.available(nowMs) === 0) {
       return [{type: 'permitRefused', requestId, kind: 'rate-limited', retryAfterMs}];
     }
-    demand.expected.add(requestId);
+    demand.expected.set(requestId, nowMs);
     this.#customerByRequest.set(requestId, customerId);
     return [...this.#askIfShort(customerId, demand, nowMs), ...this.#armTimer(nowMs)];
   }
 
-  #onWanted(
-    requestId: number,
-    customerId: string,
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  #onWanted(requestId: number, customerId: string, nowMs: number): readonly CoreMessage[] {
     const demand = this.#demandOf(customerId);
+    demand.waiting.set(requestId, demand.expected.get(requestId) ?? nowMs);
     demand.expected.delete(requestId);
-    demand.waiting.set(requestId, nowMs);
     this.#customerByRequest.set(requestId, customerId);
     return [
       ...this.#serve(customerId, demand, nowMs),
@@ -127,11 +119,7 @@
   }
 
   /** Spends tokens on waiting requests, the longest wait first. */
-  #serve(
-    customerId: string,
-    demand: CustomerDemand,
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  #serve(customerId: string, demand: CustomerDemand, nowMs: number): readonly CoreMessage[] {
     const messages: CoreMessage[] = [];
     if (nowMs > this.#freshUntilMs) {
       return messages;
@@ -161,11 +149,7 @@
     }
   }
 
-  #askIfShort(
-    customerId: string,
-    demand: CustomerDemand,
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  #askIfShort(customerId: string, demand: CustomerDemand, nowMs: number): readonly CoreMessage[] {
     if (demand.pendingAskId !== undefined || nowMs < demand.dryUntilMs) {
       return [];
     }
@@ -224,23 +208,22 @@
   }
 
   #onShortfall(
-    {customerId, retryAfterMs, isSettled}: TokenAnswer['grants'][number],
+    {customerId, count, retryAfterMs, isSettled}: TokenAnswer['grants'][number],
     demand: CustomerDemand,
     nowMs: number,
   ): readonly CoreMessage[] {
-    if (retryAfterMs === undefined && isSettled) {
-      return this.#askIfShort(customerId, demand, nowMs);
-    }
-    if (!isSettled) {
+    if (!isSettled || (count === 0 && retryAfterMs === undefined)) {
       demand.dryUntilMs = nowMs + tickMs;
       return [];
     }
-    const dryMs = retryAfterMs ?? 0;
-    demand.dryUntilMs = nowMs + dryMs;
-    return dryMs > waitOutMs ? this.#refuseUncovered(demand, dryMs, nowMs) : [];
+    if (retryAfterMs === undefined) {
+      return this.#askIfShort(customerId, demand, nowMs);
+    }
+    demand.dryUntilMs = nowMs + retryAfterMs;
+    return this.#refuseUncovered(demand, retryAfterMs, nowMs);
   }
 
-  /** Refuses the requests for which there is no token now. */
+  /** Refuses the requests for which there is no token now, but for young ones in a short dry spell. */
   #refuseUncovered(
     demand: CustomerDemand,
     retryAfterMs: number,
@@ -248,17 +231,15 @@
   ): readonly CoreMessage[] {
     const messages: CoreMessage[] = [];
     const covered = demand.available(nowMs);
-    const requestIds = [...demand.waiting.keys(), ...demand.expected].slice(covered);
-    for (const requestId of requestIds) {
+    const uncovered = [...demand.waiting, ...demand.expected].slice(covered);
+    for (const [requestId, sinceMs] of uncovered) {
+      if (nowMs + retryAfterMs - sinceMs <= waitOutMs) {
+        continue;
+      }
       demand.waiting.delete(requestId);
       demand.expected.delete(requestId);
       this.#customerByRequest.delete(requestId);
-      messages.push({
-        type: 'permitRefused',
-        requestId,
-        kind: 'rate-limited',
-        retryAfterMs,
-      });
+      messages.push({type: 'permitRefused', requestId, kind: 'rate-limited', retryAfterMs});
     }
     return messages;
   }
--- a/packages/core/src/allowance/homeTask.ts
+++ b/packages/core/src/allowance/homeTask.ts
@@ -1,12 +1,7 @@
 import type {Customer, FleetDocument, HostList} from '@godwitspring/document';
 import type {CoreTask} from '../host/coreTask.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
-import type {
-  LoanAnswer,
-  PeerMessage,
-  TokenAnswer,
-  TokenAsk,
-} from '../messages/peerMessages.ts';
+import type {LoanAnswer, PeerMessage, TokenAnswer, TokenAsk} from '../messages/peerMessages.ts';
 import type {MembershipChanged} from '../messages/hostMessages.ts';
 import {allowanceOptions} from './allowanceOptions.ts';
 import type {AllowanceOptions, RequiredAllowanceOptions} from './allowanceOptions.ts';
@@ -129,9 +124,7 @@
 
   /** Takes up the buckets that fell to this host and starts to give up those that did not. */
   #reviseBuckets(nowMs: number): readonly CoreMessage[] {
-    const mine = new Set(
-      this.#isLeaving ? [] : this.#placement.bucketsOf(this.#options.selfId),
-    );
+    const mine = new Set(this.#isLeaving ? [] : this.#placement.bucketsOf(this.#options.selfId));
     const taken: number[] = [];
     for (const bucket of mine) {
       const known = this.#buckets.get(bucket);
@@ -153,16 +146,15 @@
   #takeUp(bucket: number, nowMs: number): void {
     const {minGrantLifeMs, maxGrantLifeMs, bounds} = this.#options;
     const options = {minGrantLifeMs, maxGrantLifeMs, clockDrift: bounds.clockDrift};
-    const stock = new BucketStock(
-      this.#customersByBucket.get(bucket) ?? [],
-      options,
-      nowMs,
-    );
+    const stock = new BucketStock(this.#customersByBucket.get(bucket) ?? [], options, nowMs);
     this.#buckets.set(bucket, {stock, drainingSinceMs: undefined, askedAtMs: nowMs});
   }
 
   #askLoans(buckets: readonly number[], nowMs: number): readonly CoreMessage[] {
     const messages: CoreMessage[] = [];
+    if (this.#ownShare === 0) {
+      return messages;
+    }
     for (const bucket of buckets) {
       const state = this.#buckets.get(bucket);
       if (state !== undefined) {
@@ -191,11 +183,7 @@
     return messages;
   }
 
-  #onPeer(
-    fromHostId: string,
-    message: PeerMessage,
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  #onPeer(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
     switch (message.type) {
       case 'loanAnswer':
         this.#onLoans(fromHostId, message, nowMs);
@@ -225,9 +213,7 @@
     const heard = this.#heardNonceByLender.get(fromHostId) ?? 0;
     this.#heardNonceByLender.set(fromHostId, Math.max(heard, nonce));
     for (const {bucket, idleMs} of loans) {
-      this.#buckets
-        .get(bucket)
-        ?.stock.hold({lenderId: fromHostId, share, endsAtMs, idleMs}, nowMs);
+      this.#buckets.get(bucket)?.stock.hold({lenderId: fromHostId, share, endsAtMs, idleMs}, nowMs);
     }
   }
 
@@ -306,9 +292,7 @@
   }
 
   #onTick(nowMs: number): readonly CoreMessage[] {
-    const messages: CoreMessage[] = [
-      {type: 'timerWanted', timerId, atMs: nowMs + tickMs},
-    ];
+    const messages: CoreMessage[] = [{type: 'timerWanted', timerId, atMs: nowMs + tickMs}];
     const due: number[] = [];
     for (const [bucket, state] of this.#buckets) {
       state.stock.advance(nowMs);
@@ -316,9 +300,7 @@
         messages.push(...this.#giveUpIfDrained(bucket, state, nowMs));
         continue;
       }
-      const intervalMs = this.#isSettled(state)
-        ? this.#options.renewIntervalMs
-        : 2 * tickMs;
+      const intervalMs = this.#isSettled(state) ? this.#options.renewIntervalMs : 2 * tickMs;
       if (nowMs - state.askedAtMs >= intervalMs) {
         due.push(bucket);
       }
@@ -330,11 +312,7 @@
     return messages;
   }
 
-  #giveUpIfDrained(
-    bucket: number,
-    {stock}: Bucket,
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  #giveUpIfDrained(bucket: number, {stock}: Bucket, nowMs: number): readonly CoreMessage[] {
     if (stock.hasOutstanding(nowMs)) {
       return [];
     }
@@ -346,11 +324,7 @@
       const message: PeerMessage = {type: 'loanReturn', buckets: [bucket]};
       messages.push({type: 'sendToPeer', toHostId: lenderId, message});
     }
-    if (
-      successorId !== undefined &&
-      successorId !== this.#options.selfId &&
-      taken.length > 0
-    ) {
+    if (successorId !== undefined && successorId !== this.#options.selfId && taken.length > 0) {
       const handoverId = `${this.#options.selfId}:${nowMs}:${bucket}`;
       const message: PeerMessage = {type: 'stockHandover', handoverId, stock: taken};
       messages.push({type: 'sendToPeer', toHostId: successorId, message});
--- a/packages/core/src/allowance/lenderTask.ts
+++ b/packages/core/src/allowance/lenderTask.ts
@@ -69,18 +69,11 @@
   /** A share saves nothing while the host may not act. */
   #restartIdle(nowMs: number): void {
     for (let bucket = 0; bucket < this.#options.bucketCount; bucket += 1) {
-      this.#idleSinceMs.set(
-        bucket,
-        Math.max(nowMs, this.#idleSinceMs.get(bucket) ?? nowMs),
-      );
+      this.#idleSinceMs.set(bucket, Math.max(nowMs, this.#idleSinceMs.get(bucket) ?? nowMs));
     }
   }
 
-  #onPeer(
-    fromHostId: string,
-    message: PeerMessage,
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  #onPeer(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
     switch (message.type) {
       case 'loanAsk':
         return this.#onAsk(fromHostId, message, nowMs);
@@ -94,17 +87,11 @@
 
   #onAsk(
     fromHostId: string,
-    {
-      nonce,
-      heardNonce,
-      buckets,
-    }: {nonce: number; heardNonce: number; buckets: readonly number[]},
+    {nonce, heardNonce, buckets}: {nonce: number; heardNonce: number; buckets: readonly number[]},
     nowMs: number,
   ): readonly CoreMessage[] {
     const mayLend =
-      nowMs <= this.#freshUntilMs &&
-      this.#ownShare > 0 &&
-      nowMs >= (this.#lendsFromMs ?? nowMs);
+      nowMs <= this.#freshUntilMs && this.#ownShare > 0 && nowMs >= (this.#lendsFromMs ?? nowMs);
     if (!mayLend) {
       return [];
     }
@@ -156,12 +143,8 @@
     if (loan.borrowerId !== borrowerId) {
       return undefined;
     }
-    const unheardSinceMs =
-      heardNonce >= loan.nonce ? undefined : (loan.unheardSinceMs ?? nowMs);
-    if (
-      unheardSinceMs !== undefined &&
-      nowMs - unheardSinceMs > this.#options.bounds.loanLeaseMs
-    ) {
+    const unheardSinceMs = heardNonce >= loan.nonce ? undefined : (loan.unheardSinceMs ?? nowMs);
+    if (unheardSinceMs !== undefined && nowMs - unheardSinceMs > this.#options.bounds.loanLeaseMs) {
       return undefined;
     }
     this.#loans.set(bucket, {borrowerId, nonce, untilMs, unheardSinceMs});
--- a/packages/core/src/configuration/configurationTask.ts
+++ b/packages/core/src/configuration/configurationTask.ts
@@ -104,11 +104,7 @@
     return {type: 'statusTold', askId, section: 'configuration', value};
   }
 
-  #onPeer(
-    fromHostId: string,
-    message: PeerMessage,
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  #onPeer(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
     switch (message.type) {
       case 'heartbeatAsk':
       case 'heartbeatAnswer':
@@ -294,10 +290,7 @@
     return this.#bringIntoForce(pending, joined.value, nowMs);
   }
 
-  #reject(
-    {manifest}: PendingVersion,
-    faults: readonly unknown[],
-  ): readonly CoreMessage[] {
+  #reject({manifest}: PendingVersion, faults: readonly unknown[]): readonly CoreMessage[] {
     this.#rejected.add(manifestKey(manifest));
     const fields = {
       version: manifest.version,
@@ -339,11 +332,7 @@
   #announce(documentVersion: number): readonly CoreMessage[] {
     const messages: CoreMessage[] = [];
     const hostIds = [...this.#reachableHostIds];
-    for (
-      let told = 0;
-      told < this.#options.announceFanout && hostIds.length > 0;
-      told += 1
-    ) {
+    for (let told = 0; told < this.#options.announceFanout && hostIds.length > 0; told += 1) {
       const [hostId] = hostIds.splice(this.#options.random.below(hostIds.length), 1);
       if (hostId !== undefined) {
         messages.push(this.#send(hostId, {type: 'versionAnnounced', documentVersion}));
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,17 +2,8 @@
 export {HostCore} from './host/hostCore.ts';
 export type {HostCoreOptions, RequiredHostCoreOptions} from './host/hostCore.ts';
 export type {CoreTask} from './host/coreTask.ts';
-export {
-  hostEventSchema,
-  hostEffectSchema,
-  taskMessageSchema,
-} from './messages/coreMessage.ts';
-export type {
-  CoreMessage,
-  HostEffect,
-  HostEvent,
-  TaskMessage,
-} from './messages/coreMessage.ts';
+export {hostEventSchema, hostEffectSchema, taskMessageSchema} from './messages/coreMessage.ts';
+export type {CoreMessage, HostEffect, HostEvent, TaskMessage} from './messages/coreMessage.ts';
 export {peerMessageSchema} from './messages/peerMessages.ts';
 export type {PeerMessage} from './messages/peerMessages.ts';
 export type {
--- a/packages/core/src/membership/listHistory.ts
+++ b/packages/core/src/membership/listHistory.ts
@@ -69,11 +69,7 @@
   /** Takes over the lists of a settled, fresh peer, once this host is a member of each of them. */
   settleLike(lists: readonly HostList[]): void {
     const newest = lists.at(-1);
-    if (
-      this.#isSettled ||
-      newest === undefined ||
-      newest.version < (this.newest?.version ?? 0)
-    ) {
+    if (this.#isSettled || newest === undefined || newest.version < (this.newest?.version ?? 0)) {
       return;
     }
     if (lists.every((list) => shareUnder(list, this.#selfId) > 0)) {
--- a/packages/core/src/membership/membershipOptions.ts
+++ b/packages/core/src/membership/membershipOptions.ts
@@ -18,12 +18,7 @@
 };
 
 /** Time after which every host that was dropped has surely stopped and its loans have ended, in ms. */
-export function retirementMs({
-  freshnessMs,
-  loanLeaseMs,
-  slackMs,
-  clockDrift,
-}: LeaseBounds): number {
+export function retirementMs({freshnessMs, loanLeaseMs, slackMs, clockDrift}: LeaseBounds): number {
   return (freshnessMs + loanLeaseMs + slackMs) * (1 + 2 * clockDrift);
 }
 
--- a/packages/core/src/membership/membershipTask.ts
+++ b/packages/core/src/membership/membershipTask.ts
@@ -80,10 +80,7 @@
       case 'hostListRead':
         return this.#onListRead(message.list, message.askedAtMs, nowMs);
       case 'manifestConfirmed':
-        this.#manifestConfirmedAtMs = Math.max(
-          this.#manifestConfirmedAtMs,
-          message.askedAtMs,
-        );
+        this.#manifestConfirmedAtMs = Math.max(this.#manifestConfirmedAtMs, message.askedAtMs);
         return this.#update(nowMs);
       case 'documentInForce':
         this.#documentVersion = message.document.version;
@@ -144,11 +141,7 @@
     return messages;
   }
 
-  #onPeer(
-    fromHostId: string,
-    message: PeerMessage,
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  #onPeer(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
     switch (message.type) {
       case 'heartbeatAsk':
         return [
@@ -186,23 +179,15 @@
       nonce,
       listVersion: this.#history.newest?.version ?? 0,
       documentVersion: this.#documentVersion,
-      oldestListVersion: this.#history.isSettled
-        ? this.#history.oldest?.version
-        : undefined,
+      oldestListVersion: this.#history.isSettled ? this.#history.oldest?.version : undefined,
       isFresh,
-      platformAgeMs: Number.isFinite(platformAtMs)
-        ? Math.ceil(nowMs - platformAtMs)
-        : undefined,
+      platformAgeMs: Number.isFinite(platformAtMs) ? Math.ceil(nowMs - platformAtMs) : undefined,
       platformNowMs: this.#platformClock.platformNowMs(nowMs),
       ages: this.#tableToTell()?.ages(nowMs) ?? new Uint8Array(0),
     };
   }
 
-  #onAnswer(
-    fromHostId: string,
-    answer: HeartbeatAnswer,
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  #onAnswer(fromHostId: string, answer: HeartbeatAnswer, nowMs: number): readonly CoreMessage[] {
     const askedAtMs = this.#pendingAsks.get(answer.nonce);
     this.#pendingAsks.delete(answer.nonce);
     if (askedAtMs === undefined) {
@@ -233,10 +218,7 @@
     const {platformAgeMs} = answer;
     const isSameDocument = answer.documentVersion === this.#documentVersion;
     if (platformAgeMs !== undefined && isSameDocument) {
-      this.#peerPlatformAtMs = Math.max(
-        this.#peerPlatformAtMs,
-        askedAtMs - platformAgeMs,
-      );
+      this.#peerPlatformAtMs = Math.max(this.#peerPlatformAtMs, askedAtMs - platformAgeMs);
     }
     if (answer.oldestListVersion !== undefined) {
       this.#evidence?.note(fromHostId, askedAtMs);
@@ -249,10 +231,7 @@
   }
 
   #mergeAlive(ages: Uint8Array, askedAtMs: number): void {
-    const probe = new EvidenceTable(
-      this.#evidence?.list ?? {version: 0, asOfMs: 0, hosts: []},
-      '',
-    );
+    const probe = new EvidenceTable(this.#evidence?.list ?? {version: 0, asOfMs: 0, hosts: []}, '');
     probe.merge(ages, askedAtMs);
     for (const {id} of probe.list.hosts) {
       const seenAtMs = probe.seenAtMs(id, askedAtMs);
@@ -289,11 +268,7 @@
     return [this.#send(hostId, {type: 'listAsk'})];
   }
 
-  #onLists(
-    lists: readonly HostList[],
-    isFresh: boolean,
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  #onLists(lists: readonly HostList[], isFresh: boolean, nowMs: number): readonly CoreMessage[] {
     const messages: CoreMessage[] = [];
     for (const list of lists) {
       messages.push(...this.#adopt(list, nowMs));
@@ -307,11 +282,7 @@
 
   #onTimer(nowMs: number): readonly CoreMessage[] {
     const atMs = nowMs + this.#options.heartbeatIntervalMs;
-    return [
-      {type: 'timerWanted', timerId, atMs},
-      ...this.#askPeers(nowMs),
-      ...this.#update(nowMs),
-    ];
+    return [{type: 'timerWanted', timerId, atMs}, ...this.#askPeers(nowMs), ...this.#update(nowMs)];
   }
 
   #askPeers(nowMs: number): readonly CoreMessage[] {
@@ -365,11 +336,7 @@
     ];
   }
 
-  #tellFreshness(
-    newest: HostList,
-    evidence: EvidenceTable,
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  #tellFreshness(newest: HostList, evidence: EvidenceTable, nowMs: number): readonly CoreMessage[] {
     const isMember = newest.hosts.some(({id}) => id === this.#options.selfId);
     const majorityAtMs = evidence.majoritySeenAtMs(
       newest.hosts.map(({id}) => id),
--- a/packages/core/src/membership/platformClock.ts
+++ b/packages/core/src/membership/platformClock.ts
@@ -22,9 +22,7 @@
 
   /** The platform's clock now, as a lower bound; undefined before the first answer. */
   platformNowMs(nowMs: number): number | undefined {
-    return Number.isFinite(this.#leastDifferenceMs)
-      ? nowMs - this.#difference(nowMs)
-      : undefined;
+    return Number.isFinite(this.#leastDifferenceMs) ? nowMs - this.#difference(nowMs) : undefined;
   }
 
   /** How much an answer asked for at `askedAtMs` lagged behind the platform's newest state, in ms. */
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -103,9 +103,7 @@
         const value = {
           inProgress: this.#requests.size,
           isReady:
-            this.#index !== undefined &&
-            nowMs <= this.#freshUntilMs &&
-            !this.#isShuttingDown,
+            this.#index !== undefined && nowMs <= this.#freshUntilMs && !this.#isShuttingDown,
           freshForMs: Math.max(0, this.#freshUntilMs - nowMs),
         };
         return [{type: 'statusTold', askId: message.askId, section: 'requests', value}];
@@ -116,8 +114,7 @@
   }
 
   #onProgress(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
-    const request =
-      'requestId' in message ? this.#requests.get(message.requestId) : undefined;
+    const request = 'requestId' in message ? this.#requests.get(message.requestId) : undefined;
     if (request === undefined) {
       return [];
     }
@@ -276,11 +273,7 @@
     return [{type: 'permitWanted', requestId, customerId, deadlineAtMs}];
   }
 
-  #onPermit(
-    request: RequestState,
-    usableUntilMs: number,
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  #onPermit(request: RequestState, usableUntilMs: number, nowMs: number): readonly CoreMessage[] {
     if (request.phase !== 'permit' || request.customerId === undefined) {
       return [];
     }
@@ -304,9 +297,7 @@
     retryAfterMs: number | undefined,
   ): readonly CoreMessage[] {
     const isWaiting = request.phase === 'permit' || request.phase === 'server';
-    return isWaiting && !request.isPermitted
-      ? this.#refuse(request, kind, {retryAfterMs})
-      : [];
+    return isWaiting && !request.isPermitted ? this.#refuse(request, kind, {retryAfterMs}) : [];
   }
 
   #startAttempt(request: RequestState, nowMs: number): StartAttempt {
@@ -398,11 +389,7 @@
     return this.#retryBudget.spend();
   }
 
-  #retry(
-    request: RequestState,
-    outcome: WorkOutcome,
-    reason: string,
-  ): readonly CoreMessage[] {
+  #retry(request: RequestState, outcome: WorkOutcome, reason: string): readonly CoreMessage[] {
     const {requestId, attempt} = request;
     const released = this.#release(request, outcome);
     return [
@@ -487,9 +474,7 @@
     workOutcome: WorkOutcome = 'cancelled',
   ): readonly CoreMessage[] {
     const ended = this.#end(request, workOutcome);
-    const told = request.hasBeenInDoubt
-      ? 'unknown'
-      : (outcome ?? answerTable[kind].outcome);
+    const told = request.hasBeenInDoubt ? 'unknown' : (outcome ?? answerTable[kind].outcome);
     return [
       ...ended,
       ...this.#refuseAtOnce(request.requestId, kind, {retryAfterMs, outcome: told}),
--- a/packages/core/src/routing/documentIndex.ts
+++ b/packages/core/src/routing/documentIndex.ts
@@ -1,10 +1,4 @@
-import type {
-  Backend,
-  BackendServer,
-  Customer,
-  FleetDocument,
-  Route,
-} from '@godwitspring/document';
+import type {Backend, BackendServer, Customer, FleetDocument, Route} from '@godwitspring/document';
 
 const anyHost = '*';
 
@@ -70,9 +64,7 @@
         if (routes === undefined) {
           continue;
         }
-        const route = routes.find(
-          ({methods}) => methods.length === 0 || methods.includes(method),
-        );
+        const route = routes.find(({methods}) => methods.length === 0 || methods.includes(method));
         return route === undefined ? {kind: 'method-not-taken'} : {kind: 'found', route};
       }
     }
@@ -94,8 +86,7 @@
   /** Servers of a backend that may get new work. */
   serversInService(backend: Backend): BackendServer[] {
     return backend.servers.filter(
-      ({state, dataCentre}) =>
-        state === 'in-service' && this.#dataCentresInService.has(dataCentre),
+      ({state, dataCentre}) => state === 'in-service' && this.#dataCentresInService.has(dataCentre),
     );
   }
 
--- a/packages/core/src/routing/serverPoolTask.ts
+++ b/packages/core/src/routing/serverPoolTask.ts
@@ -84,8 +84,7 @@
         dataCentre,
         isInService: inService.has(id),
       }));
-      const queue =
-        this.#pools.get(backend.id)?.queue ?? new FairQueue(this.#options.queue);
+      const queue = this.#pools.get(backend.id)?.queue ?? new FairQueue(this.#options.queue);
       this.#pools.set(backend.id, {backend, servers, queue});
     }
     return [];
@@ -191,14 +190,9 @@
     }
   }
 
-  #grant(
-    pool: Pool,
-    {requestId, excludedServerIds}: WaitingRequest,
-  ): CoreMessage | undefined {
+  #grant(pool: Pool, {requestId, excludedServerIds}: WaitingRequest): CoreMessage | undefined {
     const candidates = this.#candidates(pool);
-    const untried = candidates.filter(
-      ({serverId}) => !excludedServerIds.includes(serverId),
-    );
+    const untried = candidates.filter(({serverId}) => !excludedServerIds.includes(serverId));
     const server = this.#options.choice.choose(untried.length > 0 ? untried : candidates);
     if (server === undefined) {
       return undefined;
--- a/packages/document/src/documentSchema.ts
+++ b/packages/document/src/documentSchema.ts
@@ -26,10 +26,7 @@
   /** Sustained rate over the whole fleet, in requests per second. */
   ratePerSecond: z.number().positive('must be above 0; remove the customer to stop it'),
   /** Requests that may come at once over the whole fleet. */
-  burstRequests: z
-    .number()
-    .int()
-    .min(1, 'must be at least 1, or no request can ever pass'),
+  burstRequests: z.number().int().min(1, 'must be at least 1, or no request can ever pass'),
   /** SHA-256 digests of the customer's keys, in hex. */
   keyDigests: z.array(sha256Schema).default([]),
 });
@@ -75,9 +72,7 @@
   host: z.string().min(1).default('*'),
   pathPrefix: z.string().startsWith('/', 'must start with "/"'),
   /** Methods taken; an empty list takes all. Default: all. */
-  methods: z
-    .array(z.string().regex(/^[A-Z]+$/, 'must be an upper-case method'))
-    .default([]),
+  methods: z.array(z.string().regex(/^[A-Z]+$/, 'must be an upper-case method')).default([]),
   backend: idSchema,
   /** True where no key is asked for. Default: false. */
   openToAll: z.boolean().default(false),
--- a/packages/document/src/settingsSchema.ts
+++ b/packages/document/src/settingsSchema.ts
@@ -24,9 +24,7 @@
   }),
   platform: z.strictObject({
     /** Origins of the configuration service, tried in turn. */
-    origins: z
-      .array(z.url())
-      .min(1, 'must name at least one origin of the configuration service'),
+    origins: z.array(z.url()).min(1, 'must name at least one origin of the configuration service'),
     /** Time a watch waits for a change, in ms. Default: 1,500. */
     watchMs: z.number().int().min(100).max(60_000).default(1_500),
     /** First wait after a failed read, in ms. Default: 250. */
--- a/packages/document/src/splitDocument.ts
+++ b/packages/document/src/splitDocument.ts
@@ -30,10 +30,7 @@
 }
 
 /** Splits a document into content-addressed parts and the manifest that names them. */
-export function splitDocument(
-  document: FleetDocument,
-  digest: DigestFunction,
-): SplitDocument {
+export function splitDocument(document: FleetDocument, digest: DigestFunction): SplitDocument {
   const {customers, backends, routes, ...head} = document;
   const texts = new Map<string, string>();
   const parts: ManifestPart[] = [];
--- a/packages/peer/src/peerTask.ts
+++ b/packages/peer/src/peerTask.ts
@@ -37,10 +37,7 @@
   reconnectMs: 500,
 } as const;
 
-type RequiredPeerOptions = Pick<
-  PeerTaskOptions,
-  'selfId' | 'listenHost' | 'listenPort' | 'report'
->;
+type RequiredPeerOptions = Pick<PeerTaskOptions, 'selfId' | 'listenHost' | 'listenPort' | 'report'>;
 
 const hostHeader = 'x-fleet-host';
 const secretHeader = 'x-fleet-secret';
@@ -169,10 +166,7 @@
   #open(toHostId: string): Link | undefined {
     const address = this.#addresses.get(toHostId);
     const closedAtMs = this.#closedAtMs.get(toHostId) ?? Number.NEGATIVE_INFINITY;
-    if (
-      address === undefined ||
-      performance.now() - closedAtMs < this.#options.reconnectMs
-    ) {
+    if (address === undefined || performance.now() - closedAtMs < this.#options.reconnectMs) {
       return undefined;
     }
     const {selfId, sharedSecret, maxMessageBytes} = this.#options;
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -47,10 +47,7 @@
   if (unreachableCodes.has(codeOf(error))) {
     return {failure: 'connect', mayHaveRun: false};
   }
-  if (
-    error instanceof errors.HeadersTimeoutError ||
-    error instanceof errors.BodyTimeoutError
-  ) {
+  if (error instanceof errors.HeadersTimeoutError || error instanceof errors.BodyTimeoutError) {
     return {failure: 'timeout', mayHaveRun: true};
   }
   return {
@@ -154,13 +151,9 @@
         return;
       }
       const status = response.statusCode;
-      const headers = endToEndHeaders(response.headers, [
-        requestIdHeader,
-        run.notRunHeader,
-      ]);
+      const headers = endToEndHeaders(response.headers, [requestIdHeader, run.notRunHeader]);
       this.#options.answer(requestId, {attempt, status, headers, body});
-      const saidNotRun =
-        status >= 500 && response.headers[run.notRunHeader] !== undefined;
+      const saidNotRun = status >= 500 && response.headers[run.notRunHeader] !== undefined;
       this.#options.tell({
         type: 'attemptAnswered',
         requestId,
--- a/packages/proxy/src/callers/bodyGuard.ts
+++ b/packages/proxy/src/callers/bodyGuard.ts
@@ -25,11 +25,7 @@
     this.#timer = this.#watch();
   }
 
-  override _transform(
-    chunk: Buffer,
-    _encoding: BufferEncoding,
-    done: TransformCallback,
-  ): void {
+  override _transform(chunk: Buffer, _encoding: BufferEncoding, done: TransformCallback): void {
     this.#seenBytes += chunk.length;
     this.#lastSeenMs = this.#options.timers.nowMs();
     if (this.#seenBytes > this.#options.maxBodyBytes) {
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -18,12 +18,7 @@
 import type {TimerService} from '../timer/timerService.ts';
 import {BodyGuard} from './bodyGuard.ts';
 import type {Exchange, PendingAnswer} from './exchange.ts';
-import {
-  customerHeader,
-  deadlineHeader,
-  endToEndHeaders,
-  requestIdHeader,
-} from './headers.ts';
+import {customerHeader, deadlineHeader, endToEndHeaders, requestIdHeader} from './headers.ts';
 import {problemBody, problemContentType} from './problemBody.ts';
 import {readRequestTarget} from './requestTarget.ts';
 import {readSmallBody} from './readSmallBody.ts';
@@ -83,8 +78,7 @@
       await this.#onRequest(context.env.incoming, context.env.outgoing);
       return RESPONSE_ALREADY_SENT;
     });
-    const {maxHeadBytes, headTimeoutMs, idleTimeoutMs, listenHost, listenPort} =
-      this.#options;
+    const {maxHeadBytes, headTimeoutMs, idleTimeoutMs, listenHost, listenPort} = this.#options;
     const server = createAdaptorServer({
       fetch: app.fetch,
       overrideGlobalObjects: false,
@@ -140,9 +134,7 @@
     const arrivedAtMs = this.#options.timers.nowMs();
     const bodyBytes = this.#announcedBytes(incoming);
     const isSmall = bodyBytes !== undefined && bodyBytes <= maxReplayableBytes;
-    const bufferedBody = isSmall
-      ? await this.#readBody(incoming, outgoing, publicId)
-      : undefined;
+    const bufferedBody = isSmall ? await this.#readBody(incoming, outgoing, publicId) : undefined;
     if (isSmall && bufferedBody === undefined) {
       return;
     }
@@ -215,9 +207,7 @@
 
   /** Names repeats of the same request; a streamed body counts by its announced size. */
   #requestDigest(incoming: IncomingMessage, body: Buffer | undefined): string {
-    const hash = createHash('sha256').update(
-      `${incoming.method ?? ''} ${incoming.url ?? ''}\n`,
-    );
+    const hash = createHash('sha256').update(`${incoming.method ?? ''} ${incoming.url ?? ''}\n`);
     hash.update(body ?? String(this.#announcedBytes(incoming)));
     return hash.digest('hex').slice(0, 32);
   }
@@ -265,9 +255,7 @@
     if (command.customerId !== undefined) {
       headers[customerHeader] = command.customerId;
     }
-    const body = hasStreamedBody
-      ? this.#guarded(incoming, command.maxBodyBytes)
-      : bufferedBody;
+    const body = hasStreamedBody ? this.#guarded(incoming, command.maxBodyBytes) : bufferedBody;
     this.#options.run({
       type: 'run',
       requestId: exchange.requestId,
@@ -325,10 +313,7 @@
     }
   }
 
-  #refuse(
-    exchange: Exchange,
-    {requestId, kind, outcome, retryAfterMs}: RefuseRequest,
-  ): void {
+  #refuse(exchange: Exchange, {requestId, kind, outcome, retryAfterMs}: RefuseRequest): void {
     this.#forget(requestId);
     const {outgoing, incoming, publicId} = exchange;
     if (outgoing.headersSent || outgoing.destroyed) {
@@ -400,8 +385,7 @@
   }
 
   #onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
-    const kind =
-      error.code === 'HPE_HEADER_OVERFLOW' ? 'head-too-large' : 'malformed-request';
+    const kind = error.code === 'HPE_HEADER_OVERFLOW' ? 'head-too-large' : 'malformed-request';
     this.#options.count('request.refused', {kind});
     if (!socket.writable) {
       return;
--- a/packages/proxy/src/host/proxyHost.ts
+++ b/packages/proxy/src/host/proxyHost.ts
@@ -52,9 +52,7 @@
     this.#metrics = new MetricsTask({
       selfId,
       statsd:
-        settings.metrics.statsd === undefined
-          ? undefined
-          : splitAddress(settings.metrics.statsd),
+        settings.metrics.statsd === undefined ? undefined : splitAddress(settings.metrics.statsd),
       intervalMs: settings.metrics.intervalMs,
     });
     const count: MetricsTask['count'] = (name, tags) => {
--- a/packages/proxy/src/metrics/counterTable.ts
+++ b/packages/proxy/src/metrics/counterTable.ts
@@ -9,9 +9,7 @@
 
   /** Counts by `name{tag=value,...}`, in the order of their names. */
   snapshot(): Record<string, number> {
-    return Object.fromEntries(
-      [...this.#counts].sort(([one], [other]) => one.localeCompare(other)),
-    );
+    return Object.fromEntries([...this.#counts].sort(([one], [other]) => one.localeCompare(other)));
   }
 
   static #key(name: string, tags: Readonly<Record<string, string>>): string {
--- a/packages/proxy/src/platform/httpPlatform.ts
+++ b/packages/proxy/src/platform/httpPlatform.ts
@@ -66,9 +66,7 @@
       });
       const body = await response.body.text();
       if (response.statusCode >= 300) {
-        throw new PlatformError(
-          `the platform answered ${response.statusCode} to ${path}`,
-        );
+        throw new PlatformError(`the platform answered ${response.statusCode} to ${path}`);
       }
       return {status: response.statusCode, body};
     } catch (cause) {
--- a/packages/proxy/src/platform/platformTask.ts
+++ b/packages/proxy/src/platform/platformTask.ts
@@ -64,10 +64,7 @@
     const {platform, timers, watchMs, tell} = this.#options;
     const askedAtMs = timers.nowMs();
     const waitMs = this.#lastList === undefined ? 0 : watchMs;
-    const {asOfMs, lists} = await platform.watchHosts(
-      this.#lastList?.version ?? -1,
-      waitMs,
-    );
+    const {asOfMs, lists} = await platform.watchHosts(this.#lastList?.version ?? -1, waitMs);
     // A long poll confirms the state at its answer; counting it from the ask is on the safe side.
     for (const list of lists) {
       this.#lastList = list;
--- a/packages/standins/src/backendServer/backendServerStandin.ts
+++ b/packages/standins/src/backendServer/backendServerStandin.ts
@@ -46,10 +46,7 @@
   behaviour: {},
 } as const;
 
-type RequiredOptions = Pick<
-  BackendServerOptions,
-  'serverId' | 'listenHost' | 'listenPort'
->;
+type RequiredOptions = Pick<BackendServerOptions, 'serverId' | 'listenHost' | 'listenPort'>;
 
 const runIdHeader = 'x-run-id';
 const notRunHeader = 'x-not-run';
--- a/packages/standins/src/platform/platformStandin.ts
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -1,12 +1,7 @@
 import {createHash} from 'node:crypto';
 import type {Server} from 'node:http';
 import {createAdaptorServer} from '@hono/node-server';
-import {
-  checkDocument,
-  formatFault,
-  hostListSchema,
-  manifestSchema,
-} from '@godwitspring/document';
+import {checkDocument, formatFault, hostListSchema, manifestSchema} from '@godwitspring/document';
 import {Hono} from 'hono';
 import type {Context} from 'hono';
 import {PlatformState, manifestKey, platformFaultsSchema} from './platformState.ts';
@@ -137,9 +132,7 @@
   }
 
   #versionOf(value: string | undefined): number | undefined {
-    return value === undefined
-      ? undefined
-      : manifestSchema.parse(JSON.parse(value)).version;
+    return value === undefined ? undefined : manifestSchema.parse(JSON.parse(value)).version;
   }
 
   async #putDocument(context: Context): Promise<Response> {
@@ -147,9 +140,7 @@
     if (checked.isErr()) {
       return context.json({faults: checked.error.map(formatFault)}, 400);
     }
-    this.state.publish(checked.value, (text) =>
-      createHash('sha256').update(text).digest('hex'),
-    );
+    this.state.publish(checked.value, (text) => createHash('sha256').update(text).digest('hex'));
     return context.json({version: checked.value.version});
   }
 }
--- a/packages/standins/src/platform/platformState.ts
+++ b/packages/standins/src/platform/platformState.ts
@@ -73,8 +73,7 @@
   /** Every kept list after `version`; the newest alone where `version` is negative. */
   listsAfter(version: number): {asOfMs: number; lists: HostList[]} {
     const {asOfMs, lists} = this.#view();
-    const after =
-      version < 0 ? lists.slice(-1) : lists.filter((list) => list.version > version);
+    const after = version < 0 ? lists.slice(-1) : lists.filter((list) => list.version > version);
     return {asOfMs, lists: [...after]};
   }
 
@@ -100,9 +99,7 @@
   }
 
   #view(): View {
-    return (
-      this.#frozen ?? {values: this.#values, lists: this.#lists, asOfMs: this.#nowMs()}
-    );
+    return this.#frozen ?? {values: this.#values, lists: this.#lists, asOfMs: this.#nowMs()};
   }
 
   #wake(): void {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,13 +1,6 @@
 // Builds dist/godwitspring: one executable with the bundle and the machine's own node.
 import {execFileSync} from 'node:child_process';
-import {
-  chmodSync,
-  copyFileSync,
-  mkdirSync,
-  readFileSync,
-  rmSync,
-  writeFileSync,
-} from 'node:fs';
+import {chmodSync, copyFileSync, mkdirSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {build} from 'esbuild';
 import {inject} from 'postject';
 
--- a/scripts/ensureInstalled.mjs
+++ b/scripts/ensureInstalled.mjs
@@ -4,8 +4,7 @@
 
 const marker = 'node_modules/.package-lock.json';
 const isCurrent =
-  existsSync(marker) &&
-  statSync(marker).mtimeMs >= statSync('package-lock.json').mtimeMs - 1000;
+  existsSync(marker) && statSync(marker).mtimeMs >= statSync('package-lock.json').mtimeMs - 1000;
 if (!isCurrent) {
   const {status} = spawnSync('npm', ['ci', '--no-audit', '--no-fund'], {
     stdio: ['ignore', 'inherit', 'inherit'],
--- a/scripts/makeExamples.mjs
+++ b/scripts/makeExamples.mjs
@@ -209,10 +209,7 @@
   ['tasas', 41, tasas],
   ['molinos', 42, molinos],
 ]) {
-  writeFileSync(
-    `examples/${name}.document.json`,
-    `${JSON.stringify(document, null, 2)}\n`,
-  );
+  writeFileSync(`examples/${name}.document.json`, `${JSON.stringify(document, null, 2)}\n`);
   const list = hosts(net, 6);
   writeFileSync(
     `examples/${name}.hosts.json`,
--- a/scripts/totalsReporter.cjs
+++ b/scripts/totalsReporter.cjs
@@ -7,9 +7,7 @@
     super(runner, options);
     runner.once('end', () => {
       setImmediate(() => {
-        process.stdout.write(
-          `\n${this.stats.passes} passed, ${this.stats.failures} failed\n`,
-        );
+        process.stdout.write(`\n${this.stats.passes} passed, ${this.stats.failures} failed\n`);
       });
     });
   }
