Judge backend servers over the whole fleet, with ejection permits that keep the floor

Cause: each host sees a fraction of a server's work; judged alone it is too slow and two hosts together can break the floor. Loans have classes; the loan side is one piece for both.

--- a/packages/core/src/allowance/allowanceOptions.ts
+++ b/packages/core/src/allowance/allowanceOptions.ts
@@ -1,11 +1,13 @@
 import type {HashFunction} from '../time/hashFunction.ts';
 import {DEFAULT_LEASE_BOUNDS} from '../membership/membershipOptions.ts';
+import type {AllowanceClass} from '../messages/peerMessages.ts';
 import type {LeaseBounds} from '../membership/membershipOptions.ts';
 
 /** Options that the lender, home and entry sides of the allowances share. */
 export interface AllowanceOptions {
   readonly selfId: string;
   readonly hash: HashFunction;
+  readonly allowanceClass: AllowanceClass;
   readonly bounds: LeaseBounds;
   /** Groups into which customers are hashed; each group has one home. Default: 6. */
   readonly bucketCount: number;
@@ -18,6 +20,7 @@
 }
 
 export const DEFAULT_ALLOWANCE_OPTIONS = {
+  allowanceClass: 'rates',
   bounds: DEFAULT_LEASE_BOUNDS,
   bucketCount: 6,
   renewIntervalMs: 600,
--- a/packages/core/src/allowance/homeTask.ts
+++ b/packages/core/src/allowance/homeTask.ts
@@ -7,6 +7,7 @@
 import type {AllowanceOptions, RequiredAllowanceOptions} from './allowanceOptions.ts';
 import {BucketStock} from './bucketStock.ts';
 import {HomePlacement} from './homePlacement.ts';
+import {LoanHolder} from './loanHolder.ts';
 
 const timerId = 'home.tick';
 const tickMs = 100;
@@ -14,14 +15,9 @@
 const settledPart = 0.9;
 /** Time for which stock handed over waits for the shares that cover it, in ms. */
 const handoverWaitMs = 1_000;
-const maxPendingAsks = 4_096;
+const maxKnownGrants = 4_096;
 const maxHandovers = 64;
 
-interface PendingLoanAsk {
-  readonly lenderId: string;
-  readonly askedAtMs: number;
-}
-
 interface Handover {
   readonly stock: readonly {customerId: string; tokens: number}[];
   readonly applyByMs: number;
@@ -38,8 +34,7 @@
  * Home of some buckets of customers: borrows the shares of all hosts and hands tokens to the entry
  * hosts that have demand.
  *
- * A loan is counted from the ask and ends early enough for the longest grant, so that no token lives
- * longer than the share it came from.
+ * A token lives no longer than the share it came from (see `LoanHolder`).
  */
 export class HomeTask implements CoreTask {
   readonly accepts = [
@@ -54,8 +49,7 @@
   readonly #options: AllowanceOptions;
   readonly #placement: HomePlacement;
   readonly #buckets = new Map<number, Bucket>();
-  readonly #pendingAsks = new Map<number, PendingLoanAsk>();
-  readonly #heardNonceByLender = new Map<string, number>();
+  readonly #holder: LoanHolder;
   readonly #grantCustomers = new Map<number, string>();
   readonly #handovers: Handover[] = [];
   readonly #seenHandovers = new Set<string>();
@@ -64,7 +58,6 @@
   #reachableHostIds: readonly string[] = [];
   #ownShare = 0;
   #freshUntilMs = Number.NEGATIVE_INFINITY;
-  #nextNonce = 1;
   #nextGrantId = 1;
   #isLeaving = false;
   #isTicking = false;
@@ -72,6 +65,7 @@
   constructor(options: Partial<AllowanceOptions> & RequiredAllowanceOptions) {
     this.#options = allowanceOptions(options);
     this.#placement = new HomePlacement(this.#options.hash, this.#options.bucketCount);
+    this.#holder = new LoanHolder(this.#options);
   }
 
   receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
@@ -151,9 +145,8 @@
   }
 
   #askLoans(buckets: readonly number[], nowMs: number): readonly CoreMessage[] {
-    const messages: CoreMessage[] = [];
     if (this.#ownShare === 0) {
-      return messages;
+      return [];
     }
     for (const bucket of buckets) {
       const state = this.#buckets.get(bucket);
@@ -161,26 +154,7 @@
         state.askedAtMs = nowMs;
       }
     }
-    for (const {id} of this.#list?.hosts ?? []) {
-      const nonce = this.#nextNonce;
-      this.#nextNonce += 1;
-      this.#pendingAsks.set(nonce, {lenderId: id, askedAtMs: nowMs});
-      const heardNonce = this.#heardNonceByLender.get(id) ?? 0;
-      const message: PeerMessage = {
-        type: 'loanAsk',
-        nonce,
-        heardNonce,
-        buckets: [...buckets],
-      };
-      messages.push({type: 'sendToPeer', toHostId: id, message});
-    }
-    for (const oldNonce of this.#pendingAsks.keys()) {
-      if (this.#pendingAsks.size <= maxPendingAsks) {
-        break;
-      }
-      this.#pendingAsks.delete(oldNonce);
-    }
-    return messages;
+    return this.#holder.ask(this.#list, buckets, nowMs);
   }
 
   #onPeer(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
@@ -198,22 +172,12 @@
     }
   }
 
-  #onLoans(fromHostId: string, {nonce, share, loans}: LoanAnswer, nowMs: number): void {
-    const ask = this.#pendingAsks.get(nonce);
-    this.#pendingAsks.delete(nonce);
-    if (ask?.lenderId !== fromHostId) {
+  #onLoans(fromHostId: string, answer: LoanAnswer, nowMs: number): void {
+    if (answer.allowanceClass !== 'rates') {
       return;
     }
-    const {loanLeaseMs, clockDrift} = this.#options.bounds;
-    const heldMs = loanLeaseMs - this.#options.maxGrantLifeMs * (1 + 2 * clockDrift);
-    const endsAtMs = ask.askedAtMs + heldMs;
-    if (endsAtMs <= nowMs) {
-      return;
-    }
-    const heard = this.#heardNonceByLender.get(fromHostId) ?? 0;
-    this.#heardNonceByLender.set(fromHostId, Math.max(heard, nonce));
-    for (const {bucket, idleMs} of loans) {
-      this.#buckets.get(bucket)?.stock.hold({lenderId: fromHostId, share, endsAtMs, idleMs}, nowMs);
+    for (const loan of this.#holder.take(fromHostId, answer, nowMs)) {
+      this.#buckets.get(loan.bucket)?.stock.hold(loan, nowMs);
     }
   }
 
@@ -266,7 +230,7 @@
   /** Reports on grants that are far older than their life are of no more use. */
   #forgetOldGrants(): void {
     for (const grantId of this.#grantCustomers.keys()) {
-      if (this.#grantCustomers.size <= maxPendingAsks) {
+      if (this.#grantCustomers.size <= maxKnownGrants) {
         return;
       }
       this.#grantCustomers.delete(grantId);
@@ -320,10 +284,7 @@
     const taken = stock.takeStock(nowMs);
     const successorId = this.#placement.homeOf(bucket);
     this.#buckets.delete(bucket);
-    for (const lenderId of stock.loans.lenderIds) {
-      const message: PeerMessage = {type: 'loanReturn', buckets: [bucket]};
-      messages.push({type: 'sendToPeer', toHostId: lenderId, message});
-    }
+    messages.push(...this.#holder.giveBack(stock.loans.lenderIds, bucket));
     if (successorId !== undefined && successorId !== this.#options.selfId && taken.length > 0) {
       const handoverId = `${this.#options.selfId}:${nowMs}:${bucket}`;
       const message: PeerMessage = {type: 'stockHandover', handoverId, stock: taken};
--- a/packages/core/src/allowance/lenderTask.ts
+++ b/packages/core/src/allowance/lenderTask.ts
@@ -50,7 +50,7 @@
   }
 
   #onShare(ownShare: number, nowMs: number): readonly CoreMessage[] {
-    this.#lendsFromMs ??= nowMs + lenderLeaseMs(this.#options.bounds);
+    this.#lendsFromMs ??= nowMs + this.#leaseMs();
     if (this.#ownShare === 0 && ownShare > 0) {
       this.#restartIdle(nowMs);
     }
@@ -66,6 +66,10 @@
     return [];
   }
 
+  #leaseMs(): number {
+    return lenderLeaseMs(this.#options.bounds, this.#options.allowanceClass);
+  }
+
   /** A share saves nothing while the host may not act. */
   #restartIdle(nowMs: number): void {
     for (let bucket = 0; bucket < this.#options.bucketCount; bucket += 1) {
@@ -74,6 +78,9 @@
   }
 
   #onPeer(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
+    if (!('allowanceClass' in message) || message.allowanceClass !== this.#options.allowanceClass) {
+      return [];
+    }
     switch (message.type) {
       case 'loanAsk':
         return this.#onAsk(fromHostId, message, nowMs);
@@ -102,7 +109,14 @@
         loans.push({bucket, idleMs});
       }
     }
-    const answer: PeerMessage = {type: 'loanAnswer', nonce, share: this.#ownShare, loans};
+    const {allowanceClass} = this.#options;
+    const answer: PeerMessage = {
+      type: 'loanAnswer',
+      allowanceClass,
+      nonce,
+      share: this.#ownShare,
+      loans,
+    };
     return [{type: 'sendToPeer', toHostId: fromHostId, message: answer}];
   }
 
@@ -114,7 +128,7 @@
     heardNonce: number,
     nowMs: number,
   ): number | undefined {
-    const untilMs = nowMs + lenderLeaseMs(this.#options.bounds);
+    const untilMs = nowMs + this.#leaseMs();
     const loan = this.#loans.get(bucket);
     if (loan !== undefined && loan.untilMs > nowMs) {
       return this.#renew(bucket, loan, {borrowerId, nonce, heardNonce, nowMs, untilMs});
@@ -144,7 +158,7 @@
       return undefined;
     }
     const unheardSinceMs = heardNonce >= loan.nonce ? undefined : (loan.unheardSinceMs ?? nowMs);
-    if (unheardSinceMs !== undefined && nowMs - unheardSinceMs > this.#options.bounds.loanLeaseMs) {
+    if (unheardSinceMs !== undefined && nowMs - unheardSinceMs > this.#leaseMs()) {
       return undefined;
     }
     this.#loans.set(bucket, {borrowerId, nonce, untilMs, unheardSinceMs});
--- /dev/null
+++ b/packages/core/src/allowance/loanHolder.ts
@@ -0,0 +1,104 @@
+import type {HostList} from '@godwitspring/document';
+import type {CoreMessage} from '../messages/coreMessage.ts';
+import type {AllowanceClass, LoanAnswer, PeerMessage} from '../messages/peerMessages.ts';
+import type {LeaseBounds} from '../membership/membershipOptions.ts';
+import {loanLeaseMs} from '../membership/membershipOptions.ts';
+
+/** A loan that a home may use until `endsAtMs` on its own clock. */
+export interface GrantedLoan {
+  readonly bucket: number;
+  readonly lenderId: string;
+  readonly share: number;
+  readonly endsAtMs: number;
+  /** Time for which the share lay idle at the lender before, in ms. */
+  readonly idleMs: number;
+}
+
+export interface LoanHolderOptions {
+  readonly allowanceClass: AllowanceClass;
+  readonly bounds: LeaseBounds;
+  /** Longest life of what the home hands out of its shares, in ms. */
+  readonly maxGrantLifeMs: number;
+}
+
+const maxPendingAsks = 4_096;
+
+/**
+ * Borrower's side of loans: asks all hosts and counts each loan from its ask.
+ *
+ * A loan ends early enough for the longest grant, so that nothing handed out outlives the share it
+ * came from.
+ */
+export class LoanHolder {
+  readonly #options: LoanHolderOptions;
+  readonly #pendingAsks = new Map<number, {lenderId: string; askedAtMs: number}>();
+  readonly #heardNonceByLender = new Map<string, number>();
+  #nextNonce = 1;
+
+  constructor(options: LoanHolderOptions) {
+    this.#options = options;
+  }
+
+  /** Asks every host of the list for its shares in the buckets. */
+  ask(list: HostList | undefined, buckets: readonly number[], nowMs: number): CoreMessage[] {
+    const messages: CoreMessage[] = [];
+    const {allowanceClass} = this.#options;
+    for (const {id} of list?.hosts ?? []) {
+      const nonce = this.#nextNonce;
+      this.#nextNonce += 1;
+      this.#pendingAsks.set(nonce, {lenderId: id, askedAtMs: nowMs});
+      const heardNonce = this.#heardNonceByLender.get(id) ?? 0;
+      const message: PeerMessage = {
+        type: 'loanAsk',
+        allowanceClass,
+        nonce,
+        heardNonce,
+        buckets: [...buckets],
+      };
+      messages.push({type: 'sendToPeer', toHostId: id, message});
+    }
+    this.#forgetOldAsks();
+    return messages;
+  }
+
+  /** Takes an answer; gives the loans in it that still run. */
+  take(fromHostId: string, {nonce, share, loans}: LoanAnswer, nowMs: number): GrantedLoan[] {
+    const ask = this.#pendingAsks.get(nonce);
+    this.#pendingAsks.delete(nonce);
+    if (ask?.lenderId !== fromHostId) {
+      return [];
+    }
+    const {allowanceClass, bounds, maxGrantLifeMs} = this.#options;
+    const heldMs =
+      loanLeaseMs(bounds, allowanceClass) - maxGrantLifeMs * (1 + 2 * bounds.clockDrift);
+    const endsAtMs = ask.askedAtMs + heldMs;
+    if (endsAtMs <= nowMs) {
+      return [];
+    }
+    const heard = this.#heardNonceByLender.get(fromHostId) ?? 0;
+    this.#heardNonceByLender.set(fromHostId, Math.max(heard, nonce));
+    return loans.map(({bucket, idleMs}) => ({
+      bucket,
+      lenderId: fromHostId,
+      share,
+      endsAtMs,
+      idleMs,
+    }));
+  }
+
+  /** Gives the loans of one bucket back. */
+  giveBack(lenderIds: readonly string[], bucket: number): CoreMessage[] {
+    const {allowanceClass} = this.#options;
+    const message: PeerMessage = {type: 'loanReturn', allowanceClass, buckets: [bucket]};
+    return lenderIds.map((toHostId) => ({type: 'sendToPeer', toHostId, message}));
+  }
+
+  #forgetOldAsks(): void {
+    for (const oldNonce of this.#pendingAsks.keys()) {
+      if (this.#pendingAsks.size <= maxPendingAsks) {
+        return;
+      }
+      this.#pendingAsks.delete(oldNonce);
+    }
+  }
+}
--- a/packages/core/src/host/hostCore.ts
+++ b/packages/core/src/host/hostCore.ts
@@ -1,6 +1,8 @@
 import {EntryTask} from '../allowance/entryTask.ts';
 import {HomeTask} from '../allowance/homeTask.ts';
 import {LenderTask} from '../allowance/lenderTask.ts';
+import {HealthEntryTask} from '../health/healthEntryTask.ts';
+import {HealthHomeTask} from '../health/healthHomeTask.ts';
 import {ConfigurationTask} from '../configuration/configurationTask.ts';
 import {DEFAULT_LEASE_BOUNDS} from '../membership/membershipOptions.ts';
 import type {LeaseBounds} from '../membership/membershipOptions.ts';
@@ -27,6 +29,8 @@
   readonly choice: ServerChoice;
   /** Tasks that decide on customers' rates. Default: lender, home and entry side of delegated shares. */
   readonly allowanceTasks: readonly CoreTask[];
+  /** Tasks that decide on the servers' health. Default: reports to the homes of the backends. */
+  readonly healthTasks: readonly CoreTask[];
 }
 
 export type RequiredHostCoreOptions = Pick<
@@ -51,16 +55,22 @@
     bounds = DEFAULT_LEASE_BOUNDS,
     choice = new LeastLoadedOfTwo(random),
     allowanceTasks = [
-      new LenderTask({selfId, hash, bounds}),
+      new LenderTask({selfId, hash, bounds, allowanceClass: 'rates'}),
       new HomeTask({selfId, hash, bounds}),
       new EntryTask({selfId, hash, bounds}),
     ],
+    healthTasks = [
+      new LenderTask({selfId, hash, bounds, allowanceClass: 'ejections'}),
+      new HealthHomeTask({selfId, hash, bounds}),
+      new HealthEntryTask({selfId, hash, bounds}),
+    ],
   }: Partial<HostCoreOptions> & RequiredHostCoreOptions) {
     this.#selfId = selfId;
     this.#router = new MessageRouter([
       new ConfigurationTask({random}),
       new MembershipTask({selfId, random, bounds}),
       ...allowanceTasks,
+      ...healthTasks,
       new ServerPoolTask({choice}),
       new RequestTask(),
     ]);
--- a/packages/core/src/messages/coreMessage.ts
+++ b/packages/core/src/messages/coreMessage.ts
@@ -49,6 +49,7 @@
   request.serverRefusedSchema,
   request.serverReleasedSchema,
   request.requestWithdrawnSchema,
+  request.serverLimitsSchema,
   host.documentInForceSchema,
   host.membershipChangedSchema,
   host.freshUntilSchema,
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -63,9 +63,13 @@
   text: z.string().optional(),
 });
 
+/** What is divided over the fleet by shares. */
+export const allowanceClassSchema = z.enum(['rates', 'ejections']);
+
 /** A home asks a peer to lend its share of every allowance in the buckets. */
 export const loanAskSchema = z.object({
   type: z.literal('loanAsk'),
+  allowanceClass: allowanceClassSchema,
   nonce: z.number().int(),
   /** Nonce of the last answer that arrived from this lender; 0 for none. */
   heardNonce: z.number().int(),
@@ -75,6 +79,7 @@
 /** The loans a peer grants; each runs for the loan lease, counted by the borrower from its ask. */
 export const loanAnswerSchema = z.object({
   type: z.literal('loanAnswer'),
+  allowanceClass: allowanceClassSchema,
   nonce: z.number().int(),
   /** The lender's share of each allowance, 0 to 1. */
   share: z.number().min(0).max(1),
@@ -90,6 +95,7 @@
 /** A home gives loans back before their lease ends and holds them no more. */
 export const loanReturnSchema = z.object({
   type: z.literal('loanReturn'),
+  allowanceClass: allowanceClassSchema,
   buckets: z.array(z.number().int()),
 });
 
@@ -140,6 +146,55 @@
   ),
 });
 
+const serverStateSchema = z.enum(['ejected', 'probation', 'ramping']);
+
+/** What an entry host saw of the servers of some backends since its last report. */
+export const healthReportSchema = z.object({
+  type: z.literal('healthReport'),
+  askId: z.number().int(),
+  backends: z.array(
+    z.object({
+      backendId: z.string(),
+      /** Servers that the reporter holds to be ejected, for a home that is new to the backend. */
+      ejectedIds: z.array(z.string()),
+      servers: z.array(
+        z.object({
+          serverId: z.string(),
+          /** Requests answered as they should be. */
+          good: tokenCountSchema,
+          /** Requests that the server failed or answered far later than its peers. */
+          failed: tokenCountSchema,
+          /** Requests lost on the way to or from the server, which may be the reporter's own fault. */
+          lost: tokenCountSchema,
+          /** Requests that the server said it did not run. */
+          shed: tokenCountSchema,
+        }),
+      ),
+    }),
+  ),
+});
+
+/** How an entry host may use the servers of some backends; servers not named are as usual. */
+export const healthVerdictSchema = z.object({
+  type: z.literal('healthVerdict'),
+  askId: z.number().int(),
+  /** Life of the verdict, counted by the entry host from its report, in ms. */
+  lifeMs: z.number().min(0),
+  backends: z.array(
+    z.object({
+      backendId: z.string(),
+      servers: z.array(
+        z.object({
+          serverId: z.string(),
+          state: serverStateSchema,
+          /** Requests that this host may run there at once. */
+          limit: tokenCountSchema,
+        }),
+      ),
+    }),
+  ),
+});
+
 /** The sender is stopping and will use none of its allowances again. */
 export const leavingSchema = z.object({type: z.literal('leaving')});
 
@@ -160,6 +215,8 @@
   stockHandoverSchema,
   tokenAskSchema,
   tokenAnswerSchema,
+  healthReportSchema,
+  healthVerdictSchema,
   leavingSchema,
 ]);
 
@@ -167,4 +224,8 @@
 export type HeartbeatAnswer = z.infer<typeof heartbeatAnswerSchema>;
 export type TokenAsk = z.infer<typeof tokenAskSchema>;
 export type TokenAnswer = z.infer<typeof tokenAnswerSchema>;
+export type AllowanceClass = z.infer<typeof allowanceClassSchema>;
+export type HealthReport = z.infer<typeof healthReportSchema>;
+export type HealthVerdict = z.infer<typeof healthVerdictSchema>;
+export type ServerState = z.infer<typeof serverStateSchema>;
 export type LoanAnswer = z.infer<typeof loanAnswerSchema>;
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -93,6 +93,8 @@
   requestId: requestIdSchema,
   backendId: z.string(),
   customerId: z.string().optional(),
+  /** True where the request may run twice without harm. */
+  isRepeatable: z.boolean(),
   /** Servers that were tried already. */
   excludedServerIds: z.array(z.string()),
   deadlineAtMs: z.number(),
@@ -128,11 +130,29 @@
   serverId: z.string(),
   backendId: z.string(),
   routeId: z.string(),
+  customerId: z.string().optional(),
   outcome: workOutcomeSchema,
   /** Time from the start of the attempt to the head of the answer, in ms. */
   latencyMs: z.number(),
 });
 
+/** How a host may use the servers of a backend; servers not named are as usual. */
+export const serverLimitsSchema = z.object({
+  type: z.literal('serverLimits'),
+  backendId: z.string(),
+  servers: z.array(
+    z.object({
+      serverId: z.string(),
+      /** Requests that this host may run there at once; absent for the usual number. */
+      limit: z.number().int().optional(),
+      /** Share of its usual work that the server should get, 0 to 1. */
+      weight: z.number(),
+      /** True where the next repeatable request should go there, to try it. */
+      isTrial: z.boolean(),
+    }),
+  ),
+});
+
 /** The request needs neither permission nor server any more. */
 export const requestWithdrawnSchema = z.object({
   type: z.literal('requestWithdrawn'),
@@ -183,6 +203,7 @@
 export type AttemptFailure = z.infer<typeof attemptFailureSchema>;
 export type WorkOutcome = z.infer<typeof workOutcomeSchema>;
 export type ServerReleased = z.infer<typeof serverReleasedSchema>;
+export type ServerLimits = z.infer<typeof serverLimitsSchema>;
 export type ServerWanted = z.infer<typeof serverWantedSchema>;
 export type StartAttempt = z.infer<typeof startAttemptSchema>;
 export type RefuseRequest = z.infer<typeof refuseRequestSchema>;
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -252,6 +252,7 @@
       requestId: request.requestId,
       backendId: request.backend.id,
       customerId: request.customerId,
+      isRepeatable: request.isIdempotent && request.isReplayable,
       excludedServerIds: [...request.excludedServerIds],
       deadlineAtMs: request.deadlineAtMs,
     };
@@ -414,6 +415,7 @@
         serverId,
         backendId: backend.id,
         routeId: route.id,
+        customerId: request.customerId,
         outcome,
         latencyMs: request.headLatencyMs ?? 0,
       },
--- a/packages/core/src/routing/fairQueue.ts
+++ b/packages/core/src/routing/fairQueue.ts
@@ -3,6 +3,7 @@
   readonly requestId: number;
   /** Customer that the wait is counted for; open routes share one. */
   readonly customerId: string;
+  readonly isRepeatable: boolean;
   readonly excludedServerIds: readonly string[];
   /** Moment at which waiting ends without a slot, in ms. */
   readonly expiresAtMs: number;
--- a/packages/core/src/routing/serverChoice.ts
+++ b/packages/core/src/routing/serverChoice.ts
@@ -7,6 +7,8 @@
   readonly runningAttempts: number;
   /** Share of its usual work that the server should get, 0 to 1. */
   readonly weight: number;
+  /** True where the next repeatable request should go there, to try it. */
+  readonly isTrial: boolean;
 }
 
 /** Chooses the backend server of the next attempt among those with a free slot. */
--- a/packages/core/src/routing/serverPoolTask.ts
+++ b/packages/core/src/routing/serverPoolTask.ts
@@ -1,7 +1,7 @@
 import type {Backend, FleetDocument} from '@godwitspring/document';
 import type {CoreTask} from '../host/coreTask.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
-import type {ServerReleased, ServerWanted} from '../messages/requestMessages.ts';
+import type {ServerLimits, ServerReleased, ServerWanted} from '../messages/requestMessages.ts';
 import {DocumentIndex} from './documentIndex.ts';
 import {FairQueue} from './fairQueue.ts';
 import type {FairQueueOptions, WaitingRequest} from './fairQueue.ts';
@@ -27,10 +27,13 @@
   isInService: boolean;
 }
 
+type ServerLimit = ServerLimits['servers'][number];
+
 interface Pool {
   backend: Backend;
   servers: PoolServer[];
   readonly queue: FairQueue;
+  readonly limits: Map<string, ServerLimit>;
 }
 
 /** Gives each request a backend server with a free slot, customers in turn when slots are short. */
@@ -39,6 +42,7 @@
     'serverWanted',
     'serverReleased',
     'requestWithdrawn',
+    'serverLimits',
     'documentInForce',
     'timerFired',
   ] as const;
@@ -65,6 +69,8 @@
         return this.#onReleased(message);
       case 'requestWithdrawn':
         return this.#onWithdrawn(message.requestId);
+      case 'serverLimits':
+        return this.#onLimits(message);
       case 'documentInForce':
         return this.#onDocument(message.document);
       case 'timerFired':
@@ -84,12 +90,26 @@
         dataCentre,
         isInService: inService.has(id),
       }));
-      const queue = this.#pools.get(backend.id)?.queue ?? new FairQueue(this.#options.queue);
-      this.#pools.set(backend.id, {backend, servers, queue});
+      const known = this.#pools.get(backend.id);
+      const queue = known?.queue ?? new FairQueue(this.#options.queue);
+      const limits = known?.limits ?? new Map<string, ServerLimit>();
+      this.#pools.set(backend.id, {backend, servers, queue, limits});
     }
     return [];
   }
 
+  #onLimits({backendId, servers}: ServerLimits): readonly CoreMessage[] {
+    const pool = this.#pools.get(backendId);
+    if (pool === undefined) {
+      return [];
+    }
+    pool.limits.clear();
+    for (const limit of servers) {
+      pool.limits.set(limit.serverId, limit);
+    }
+    return this.#serveWaiting(pool);
+  }
+
   #onWanted(message: ServerWanted, nowMs: number): readonly CoreMessage[] {
     const {requestId, backendId, deadlineAtMs} = message;
     const pool = this.#pools.get(backendId);
@@ -99,6 +119,7 @@
     const request: WaitingRequest = {
       requestId,
       customerId: message.customerId ?? openRouteCustomer,
+      isRepeatable: message.isRepeatable,
       excludedServerIds: message.excludedServerIds,
       expiresAtMs: Math.min(deadlineAtMs, nowMs + this.#options.maxWaitMs),
     };
@@ -190,32 +211,28 @@
     }
   }
 
-  #grant(pool: Pool, {requestId, excludedServerIds}: WaitingRequest): CoreMessage | undefined {
-    const candidates = this.#candidates(pool);
+  #grant(pool: Pool, waiting: WaitingRequest): CoreMessage | undefined {
+    const {requestId, isRepeatable, excludedServerIds} = waiting;
+    const candidates = this.#candidates(pool).filter(({isTrial}) => isRepeatable || !isTrial);
     const untried = candidates.filter(({serverId}) => !excludedServerIds.includes(serverId));
-    const server = this.#options.choice.choose(untried.length > 0 ? untried : candidates);
+    const open = untried.length > 0 ? untried : candidates;
+    const server = open.find(({isTrial}) => isTrial) ?? this.#options.choice.choose(open);
     if (server === undefined) {
       return undefined;
     }
-    this.#runningByServer.set(server.serverId, server.runningAttempts + 1);
-    this.#grantByRequest.set(requestId, {
-      serverId: server.serverId,
-      backendId: pool.backend.id,
-    });
-    return {
-      type: 'serverGranted',
-      requestId,
-      serverId: server.serverId,
-      origin: server.origin,
-    };
+    const {serverId, origin} = server;
+    this.#runningByServer.set(serverId, server.runningAttempts + 1);
+    this.#grantByRequest.set(requestId, {serverId, backendId: pool.backend.id});
+    return {type: 'serverGranted', requestId, serverId, origin};
   }
 
-  #candidates({backend, servers}: Pool): ServerCandidate[] {
+  #candidates({backend, servers, limits}: Pool): ServerCandidate[] {
     const candidates: ServerCandidate[] = [];
     for (const {serverId, origin, dataCentre, isInService} of servers) {
       const runningAttempts = this.#runningByServer.get(serverId) ?? 0;
-      if (isInService && runningAttempts < backend.slotsPerServer) {
-        candidates.push({serverId, origin, dataCentre, runningAttempts, weight: 1});
+      const {limit, weight = 1, isTrial = false} = limits.get(serverId) ?? {};
+      if (isInService && runningAttempts < (limit ?? backend.slotsPerServer)) {
+        candidates.push({serverId, origin, dataCentre, runningAttempts, weight, isTrial});
       }
     }
     return candidates;
