Keep idempotency keys with three hosts and stop requests that crash servers

Cause: a repeat through another host must never run twice, and a request that crashes servers must not be sent round the fleet. Change: a non-idempotent request with a key runs only when two of three keepers never saw it; a keeper speaks only if it kept the key under every list of the last five minutes, and abstains else. Small answers are given again. Crashes are counted at the request's home; after two every host refuses repeats, and losses of such a request are not counted against servers. Admission moved to a module of its own. Ruled out: one home for each key: a new home cannot know what the lost one knew and would run it again. Conclusion: where nobody can tell, the repeat is refused as unknown.

--- a/packages/bench/src/__tests__/serverHealth.test.ts
+++ b/packages/bench/src/__tests__/serverHealth.test.ts
@@ -74,7 +74,13 @@
       });
     }
     steadyLoad(fleet, {customerId: 'large', perSecond: 150, forMs: 20_000, hostIds: left, seed: 1});
-    steadyLoad(fleet, {customerId: 'large', perSecond: 150, forMs: 20_000, hostIds: right, seed: 2});
+    steadyLoad(fleet, {
+      customerId: 'large',
+      perSecond: 150,
+      forMs: 20_000,
+      hostIds: right,
+      seed: 2,
+    });
     for (let step = 0; step < 100; step += 1) {
       fleet.run(200);
       let out = 0;
@@ -95,7 +101,9 @@
     fleet.run(4_000);
     Object.assign(fleet.servers.get('nucleo-3')?.behaviour ?? {}, {failPart: 0});
     fleet.run(40_000);
-    const back = eventsOf(fleet, 'health.inService').filter(({serverId}) => serverId === 'nucleo-3');
+    const back = eventsOf(fleet, 'health.inService').filter(
+      ({serverId}) => serverId === 'nucleo-3',
+    );
     expect(back).to.have.length(1);
     expect(eventsOf(fleet, 'health.ejected')).to.have.length(1);
   });
--- a/packages/bench/src/fleet/memoryFleet.ts
+++ b/packages/bench/src/fleet/memoryFleet.ts
@@ -62,6 +62,17 @@
 
 type RequiredOptions = Pick<MemoryFleetOptions, 'hostCount' | 'document' | 'hash' | 'seed'>;
 
+interface OpenRequest {
+  readonly name: string;
+  readonly runName: string;
+  readonly customerId: string;
+  readonly arrivedAtMs: number;
+  readonly path: string;
+}
+
+/** Path of requests that crash each server that runs them. */
+export const poisonPath = '/consultas/poison';
+const poisonDownMs = 3_000;
 const watchMs = 1_500;
 const healthyServer: ServerBehaviour = {
   serviceMs: 10,
@@ -95,7 +106,7 @@
   isPlatformDown = false;
   readonly #options: MemoryFleetOptions;
   readonly #random: SeededRandom;
-  readonly #open = new Map<string, {name: string; customerId: string; arrivedAtMs: number}>();
+  readonly #open = new Map<string, OpenRequest>();
   #lists: HostList[] = [];
   #manifest: Manifest | undefined;
   #frozen: {lists: HostList[]; manifest: Manifest | undefined; asOfMs: number} | undefined;
@@ -218,7 +229,8 @@
     this.#nextRequestId += 1;
     const name = `r${requestId}`;
     const arrivedAtMs = this.queue.nowMs;
-    this.#open.set(`${hostId}/${requestId}`, {name, customerId, arrivedAtMs});
+    const runName = idempotencyKey === undefined ? name : `${customerId}/${idempotencyKey}`;
+    this.#open.set(`${hostId}/${requestId}`, {name, runName, customerId, arrivedAtMs, path});
     this.hosts.get(hostId)?.tell({
       type: 'requestArrived',
       requestId,
@@ -304,6 +316,9 @@
       case 'refuseRequest':
         this.#end(host, effect.requestId, undefined, effect.kind, effect.outcome);
         return;
+      case 'replayAnswer':
+        this.#end(host, effect.requestId, effect.answer.status, undefined, undefined);
+        return;
       case 'sendProbe':
         this.#probe(host, effect.serverId);
         return;
@@ -381,7 +396,7 @@
     if (open === undefined || server === undefined) {
       return;
     }
-    const {name, customerId} = open;
+    const {name, runName, customerId, path} = open;
     this.attempts.push({
       name,
       hostId: host.id,
@@ -405,14 +420,20 @@
       return;
     }
     this.after(delayMs, () => {
-      server.take(name, ({status, saidNotRun}) => {
+      server.take(runName, ({status, saidNotRun}) => {
         this.after(delayMs, () => {
-          if (!this.link.isCut(serverId, host.id)) {
+          if (status === 0) {
+            const failure = 'lost';
+            host.tell({type: 'attemptFailed', requestId, attempt, failure, mayHaveRun: true});
+          } else if (!this.link.isCut(serverId, host.id)) {
             host.tell({type: 'attemptAnswered', requestId, attempt, status, saidNotRun});
             this.#statusByAttempt.set(`${host.id}/${requestId}/${attempt}`, status);
           }
         });
       });
+      if (path === poisonPath) {
+        server.crash(poisonDownMs);
+      }
     });
   }
 
@@ -421,7 +442,8 @@
   #deliver(host: MemoryHost, requestId: number, attempt: number): void {
     this.after(0, () => {
       const status = this.#statusByAttempt.get(`${host.id}/${requestId}/${attempt}`);
-      host.tell({type: 'attemptFinished', requestId, attempt});
+      const answer = {status: status ?? 0, body: new Uint8Array(0)};
+      host.tell({type: 'attemptFinished', requestId, attempt, answer});
       this.#end(host, requestId, status, undefined, undefined);
     });
   }
--- a/packages/bench/src/fleet/memoryServer.ts
+++ b/packages/bench/src/fleet/memoryServer.ts
@@ -16,6 +16,7 @@
 
 /** What became of one request at the server. */
 export interface ServerAnswer {
+  /** HTTP status; 0 where the connection broke. */
   readonly status: number;
   readonly saidNotRun: boolean;
 }
@@ -24,7 +25,7 @@
 export class MemoryServer {
   readonly behaviour: ServerBehaviour;
   readonly runsByRequest = new Map<string, number>();
-  #running = 0;
+  readonly #running = new Set<(answer: ServerAnswer) => void>();
   #failDebt = 0;
   readonly #waiting: (() => void)[] = [];
   readonly #later: (afterMs: number, run: () => void) => void;
@@ -35,7 +36,7 @@
   }
 
   get running(): number {
-    return this.#running;
+    return this.#running.size;
   }
 
   get waiting(): number {
@@ -44,7 +45,7 @@
 
   /** Works on a request; answers later, or never where the server goes down meanwhile. */
   take(requestName: string, answer: (answer: ServerAnswer) => void): void {
-    if (this.#running < this.behaviour.slots) {
+    if (this.#running.size < this.behaviour.slots) {
       this.#work(requestName, answer);
       return;
     }
@@ -57,11 +58,27 @@
     });
   }
 
+  /** Breaks every connection and stays down for a while. */
+  crash(forMs: number): void {
+    const broken = [...this.#running];
+    this.#running.clear();
+    this.#waiting.length = 0;
+    this.behaviour.isUp = false;
+    for (const answer of broken) {
+      answer({status: 0, saidNotRun: false});
+    }
+    this.#later(forMs, () => {
+      this.behaviour.isUp = true;
+    });
+  }
+
   #work(requestName: string, answer: (answer: ServerAnswer) => void): void {
-    this.#running += 1;
+    this.#running.add(answer);
     this.runsByRequest.set(requestName, (this.runsByRequest.get(requestName) ?? 0) + 1);
     this.#later(this.behaviour.serviceMs, () => {
-      this.#running -= 1;
+      if (!this.#running.delete(answer)) {
+        return;
+      }
       this.#waiting.shift()?.();
       this.#failDebt += this.behaviour.failPart;
       const mustFail = this.#failDebt >= 1;
--- a/packages/bench/src/fleet/steadyLoad.ts
+++ b/packages/bench/src/fleet/steadyLoad.ts
@@ -27,7 +27,8 @@
 /** Sends one customer's requests at a rate through random hosts; gives the moments of arrival as they come. */
 export function steadyLoad(
   fleet: MemoryFleet,
-  options: Partial<SteadyLoadOptions> & Pick<SteadyLoadOptions, 'customerId' | 'perSecond' | 'forMs'>,
+  options: Partial<SteadyLoadOptions> &
+    Pick<SteadyLoadOptions, 'customerId' | 'perSecond' | 'forMs'>,
 ): number[] {
   const {customerId, perSecond, forMs, seed, path, method, hostIds, isPoisson} = {
     ...DEFAULT_STEADY_LOAD_OPTIONS,
--- a/packages/core/src/host/hostCore.ts
+++ b/packages/core/src/host/hostCore.ts
@@ -8,6 +8,10 @@
 import type {LeaseBounds} from '../membership/membershipOptions.ts';
 import {MembershipTask} from '../membership/membershipTask.ts';
 import type {HostEffect, HostEvent} from '../messages/coreMessage.ts';
+import {ClaimTask} from '../repeats/claimTask.ts';
+import {CrashTask} from '../repeats/crashTask.ts';
+import {KeeperTask} from '../repeats/keeperTask.ts';
+import type {KeeperOptions} from '../repeats/keeperTask.ts';
 import {RequestTask} from '../request/requestTask.ts';
 import {LeastLoadedOfTwo} from '../routing/leastLoadedOfTwo.ts';
 import type {ServerChoice} from '../routing/serverChoice.ts';
@@ -31,6 +35,8 @@
   readonly allowanceTasks: readonly CoreTask[];
   /** Tasks that decide on the servers' health. Default: reports to the homes of the backends. */
   readonly healthTasks: readonly CoreTask[];
+  /** How idempotency keys are kept. */
+  readonly keeper: Partial<KeeperOptions>;
 }
 
 export type RequiredHostCoreOptions = Pick<
@@ -59,6 +65,7 @@
       new HomeTask({selfId, hash, bounds}),
       new EntryTask({selfId, hash, bounds}),
     ],
+    keeper = {},
     healthTasks = [
       new LenderTask({selfId, hash, bounds, allowanceClass: 'ejections'}),
       new HealthHomeTask({selfId, hash, bounds}),
@@ -71,6 +78,9 @@
       new MembershipTask({selfId, random, bounds}),
       ...allowanceTasks,
       ...healthTasks,
+      new KeeperTask({selfId, hash, ...keeper}),
+      new ClaimTask({selfId, hash}),
+      new CrashTask({selfId, hash}),
       new ServerPoolTask({choice}),
       new RequestTask(),
     ]);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,7 +5,7 @@
 export {hostEventSchema, hostEffectSchema, taskMessageSchema} from './messages/coreMessage.ts';
 export type {CoreMessage, HostEffect, HostEvent, TaskMessage} from './messages/coreMessage.ts';
 export {peerMessageSchema} from './messages/peerMessages.ts';
-export type {PeerMessage} from './messages/peerMessages.ts';
+export type {KeptAnswer, PeerMessage} from './messages/peerMessages.ts';
 export type {
   AttemptFailure,
   RefuseRequest,
--- a/packages/core/src/messages/coreMessage.ts
+++ b/packages/core/src/messages/coreMessage.ts
@@ -28,6 +28,7 @@
   request.discardAnswerSchema,
   request.cancelAttemptSchema,
   request.refuseRequestSchema,
+  request.replayAnswerSchema,
   host.readPartSchema,
   host.sendToPeerSchema,
   host.linkPeersSchema,
@@ -40,6 +41,12 @@
 
 /** What the tasks of the core tell each other. */
 export const taskMessageSchema = z.discriminatedUnion('type', [
+  request.claimWantedSchema,
+  request.claimGrantedSchema,
+  request.claimRefusedSchema,
+  request.claimSettledSchema,
+  request.crashNotedSchema,
+  request.repeatsBlockedSchema,
   request.permitForeseenSchema,
   request.permitWantedSchema,
   request.permitGrantedSchema,
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -195,6 +195,61 @@
   ),
 });
 
+/** A whole answer that is small enough to be given again. */
+export const keptAnswerSchema = z.object({
+  status: z.number().int(),
+  contentType: z.string().optional(),
+  body: z.instanceof(Uint8Array),
+});
+
+/** Asks a keeper of an idempotency key whether the request may run. */
+export const claimAskSchema = z.object({
+  type: z.literal('claimAsk'),
+  claimId: z.string(),
+  customerId: z.string(),
+  idempotencyKey: z.string().max(256),
+  /** Names the request, so that a key is not used for another one. */
+  requestDigest: z.string().max(64),
+  /** Time after which the run must have ended, in ms. */
+  timeoutMs: z.number().min(0),
+});
+
+export const claimAnswerSchema = z.object({
+  type: z.literal('claimAnswer'),
+  claimId: z.string(),
+  /** `abstains` from a keeper that has not kept the key for long enough to know. */
+  state: z.enum(['claimed', 'abstains', 'running', 'answered', 'unknown', 'other-request']),
+  answer: keptAnswerSchema.optional(),
+});
+
+/** Tells a keeper how the run under a claim ended. */
+export const claimEndedSchema = z.object({
+  type: z.literal('claimEnded'),
+  claimId: z.string(),
+  customerId: z.string(),
+  idempotencyKey: z.string().max(256),
+  /** `not-run` frees the key. */
+  state: z.enum(['answered', 'unknown', 'not-run']),
+  answer: keptAnswerSchema.optional(),
+});
+
+/** An entry host lost the connection to a server while it ran a request. */
+export const crashSeenSchema = z.object({
+  type: z.literal('crashSeen'),
+  customerId: z.string(),
+  routeId: z.string(),
+  requestDigest: z.string().max(64),
+  serverId: z.string(),
+});
+
+/** A request that crashed servers is to be refused by every host. */
+export const requestBlockedSchema = z.object({
+  type: z.literal('requestBlocked'),
+  customerId: z.string(),
+  routeId: z.string(),
+  requestDigest: z.string().max(64),
+});
+
 /** The sender is stopping and will use none of its allowances again. */
 export const leavingSchema = z.object({type: z.literal('leaving')});
 
@@ -217,6 +272,11 @@
   tokenAnswerSchema,
   healthReportSchema,
   healthVerdictSchema,
+  claimAskSchema,
+  claimAnswerSchema,
+  claimEndedSchema,
+  crashSeenSchema,
+  requestBlockedSchema,
   leavingSchema,
 ]);
 
@@ -228,4 +288,8 @@
 export type HealthReport = z.infer<typeof healthReportSchema>;
 export type HealthVerdict = z.infer<typeof healthVerdictSchema>;
 export type ServerState = z.infer<typeof serverStateSchema>;
+export type KeptAnswer = z.infer<typeof keptAnswerSchema>;
+export type ClaimAsk = z.infer<typeof claimAskSchema>;
+export type ClaimAnswer = z.infer<typeof claimAnswerSchema>;
+export type ClaimEnded = z.infer<typeof claimEndedSchema>;
 export type LoanAnswer = z.infer<typeof loanAnswerSchema>;
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {errorKindSchema, outcomeSchema} from '../errors/errorKinds.ts';
+import {keptAnswerSchema} from './peerMessages.ts';
 
 const requestIdSchema = z.number().int();
 
@@ -58,6 +59,8 @@
   type: z.literal('attemptFinished'),
   requestId: requestIdSchema,
   attempt: z.number().int(),
+  /** The answer, where it is small and the request has an idempotency key. */
+  answer: keptAnswerSchema.optional(),
 });
 
 export const callerLeftSchema = z.object({
@@ -65,6 +68,62 @@
   requestId: requestIdSchema,
 });
 
+/** Asks whether a request with an idempotency key may run, or was run before. */
+export const claimWantedSchema = z.object({
+  type: z.literal('claimWanted'),
+  requestId: requestIdSchema,
+  customerId: z.string(),
+  idempotencyKey: z.string(),
+  requestDigest: z.string(),
+  deadlineAtMs: z.number(),
+});
+
+export const claimGrantedSchema = z.object({
+  type: z.literal('claimGranted'),
+  requestId: requestIdSchema,
+});
+
+/** The request is a repeat, or nobody can tell. */
+export const claimRefusedSchema = z.object({
+  type: z.literal('claimRefused'),
+  requestId: requestIdSchema,
+  kind: errorKindSchema,
+  answer: keptAnswerSchema.optional(),
+});
+
+/** The request under a claim ended. */
+export const claimSettledSchema = z.object({
+  type: z.literal('claimSettled'),
+  requestId: requestIdSchema,
+  state: z.enum(['answered', 'unknown', 'not-run']),
+  answer: keptAnswerSchema.optional(),
+});
+
+/** A server broke the connection while it ran the request. */
+export const crashNotedSchema = z.object({
+  type: z.literal('crashNoted'),
+  customerId: z.string(),
+  routeId: z.string(),
+  requestDigest: z.string(),
+  serverId: z.string(),
+});
+
+/** Repeats of the request are to be refused on this host. */
+export const repeatsBlockedSchema = z.object({
+  type: z.literal('repeatsBlocked'),
+  customerId: z.string(),
+  routeId: z.string(),
+  requestDigest: z.string(),
+  untilMs: z.number(),
+});
+
+/** Gives the caller an answer that was given before. */
+export const replayAnswerSchema = z.object({
+  type: z.literal('replayAnswer'),
+  requestId: requestIdSchema,
+  answer: keptAnswerSchema,
+});
+
 /** Asks for permission to run one request of a customer. */
 export const permitWantedSchema = z.object({
   type: z.literal('permitWanted'),
--- a/packages/core/src/request/requestState.ts
+++ b/packages/core/src/request/requestState.ts
@@ -1,7 +1,8 @@
 import type {Backend, Route} from '@godwitspring/document';
+import type {ServerReleased} from '../messages/requestMessages.ts';
 
 /** Where a request stands. */
-export type RequestPhase = 'server' | 'permit' | 'attempt' | 'delivering';
+export type RequestPhase = 'claim' | 'server' | 'permit' | 'attempt' | 'delivering';
 
 /** All that the core knows of one request in progress. */
 export interface RequestState {
@@ -13,7 +14,8 @@
   readonly isReplayable: boolean;
   readonly deadlineAtMs: number;
   readonly idempotencyKey: string | undefined;
-  readonly requestDigest: string | undefined;
+  /** Names repeats of the request; empty where unknown. */
+  readonly requestDigest: string;
   phase: RequestPhase;
   /** Number of the attempt that runs or ran last, from 1. */
   attempt: number;
@@ -21,9 +23,13 @@
   hasBeenInDoubt: boolean;
   /** True once the customer's permission was spent. */
   isPermitted: boolean;
+  /** True where the answer handed on is a failure of the server. */
+  hasServerFailed: boolean;
   serverId: string | undefined;
   origin: string | undefined;
   attemptStartedAtMs: number;
   headLatencyMs: number | undefined;
   readonly excludedServerIds: string[];
+  /** Losses of this request that are not yet counted against their servers. */
+  readonly losses: ServerReleased[];
 }
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -1,16 +1,19 @@
-import {isIdempotent} from '@godwitspring/document';
-import type {Customer, FleetDocument, Route} from '@godwitspring/document';
+import type {FleetDocument} from '@godwitspring/document';
 import {answerTable} from '../errors/answerTable.ts';
 import type {ErrorKind, Outcome} from '../errors/errorKinds.ts';
 import type {CoreTask} from '../host/coreTask.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
+import type {KeptAnswer} from '../messages/peerMessages.ts';
 import type {
   AttemptFailure,
   RequestArrived,
+  ServerReleased,
   StartAttempt,
   WorkOutcome,
 } from '../messages/requestMessages.ts';
 import {DocumentIndex} from '../routing/documentIndex.ts';
+import {BlockedRequests} from '../repeats/blockedRequests.ts';
+import {admitRequest, requestName} from './admitRequest.ts';
 import {RetryBudget} from './retryBudget.ts';
 import type {RetryBudgetOptions} from './retryBudget.ts';
 import type {RequestState} from './requestState.ts';
@@ -30,6 +33,8 @@
 };
 
 const timerPrefix = 'request:';
+/** Connections that one request may break before it is not sent again. */
+const maxLosses = 2;
 
 interface RefusalOptions {
   readonly retryAfterMs?: number | undefined;
@@ -58,6 +63,9 @@
 export class RequestTask implements CoreTask {
   readonly accepts = [
     'requestArrived',
+    'claimGranted',
+    'claimRefused',
+    'repeatsBlocked',
     'serverGranted',
     'serverRefused',
     'permitGranted',
@@ -76,6 +84,7 @@
   readonly #options: RequestTaskOptions;
   readonly #retryBudget: RetryBudget;
   readonly #requests = new Map<number, RequestState>();
+  readonly #blocked = new BlockedRequests();
   #index: DocumentIndex | undefined;
   #freshUntilMs = Number.NEGATIVE_INFINITY;
   #isShuttingDown = false;
@@ -94,6 +103,11 @@
       case 'freshUntil':
         this.#freshUntilMs = message.untilMs;
         return [];
+      case 'repeatsBlocked': {
+        const {customerId, routeId, requestDigest, untilMs} = message;
+        this.#blocked.block(requestName(customerId, routeId, requestDigest), untilMs);
+        return [];
+      }
       case 'shutdownWanted':
         this.#isShuttingDown = true;
         return [];
@@ -119,6 +133,10 @@
       return [];
     }
     switch (message.type) {
+      case 'claimGranted':
+        return request.phase === 'claim' ? this.#begin(request) : [];
+      case 'claimRefused':
+        return this.#onClaimRefused(request, message.kind, message.answer);
       case 'serverGranted':
         return this.#onServer(request, message.serverId, message.origin, nowMs);
       case 'serverRefused':
@@ -132,7 +150,7 @@
       case 'attemptFailed':
         return this.#onFailed(request, message, nowMs);
       case 'attemptFinished':
-        return this.#onFinished(request, message.attempt);
+        return this.#onFinished(request, message.attempt, message.answer);
       case 'callerLeft':
         return this.#onCallerLeft(request);
       default:
@@ -147,102 +165,42 @@
 
   #onArrived(message: RequestArrived, nowMs: number): readonly CoreMessage[] {
     const {requestId} = message;
-    const admission = this.#admit(message, nowMs);
-    if (typeof admission === 'string') {
-      return this.#refuseAtOnce(requestId, admission);
+    const request = admitRequest(message, {
+      index: this.#index,
+      isFresh: nowMs <= this.#freshUntilMs,
+      isShuttingDown: this.#isShuttingDown,
+      minAttemptMs: this.#options.minAttemptMs,
+      isBlocked: (name) => this.#blocked.isBlocked(name, nowMs),
+      nowMs,
+    });
+    if (typeof request === 'string') {
+      return this.#refuseAtOnce(requestId, request);
     }
-    const {request} = admission;
     this.#requests.set(requestId, request);
     this.#retryBudget.earn();
-    const messages: CoreMessage[] = [
-      {
-        type: 'timerWanted',
-        timerId: `${timerPrefix}${requestId}`,
-        atMs: request.deadlineAtMs,
-      },
+    const timerId = `${timerPrefix}${requestId}`;
+    return [
+      {type: 'timerWanted', timerId, atMs: request.deadlineAtMs},
+      ...(this.#claim(request) ?? this.#begin(request)),
     ];
-    if (request.customerId !== undefined) {
-      messages.push({type: 'permitForeseen', requestId, customerId: request.customerId});
-    }
-    messages.push(this.#wantServer(request));
-    return messages;
   }
 
-  #admit(message: RequestArrived, nowMs: number): {request: RequestState} | ErrorKind {
-    if (this.#isShuttingDown) {
-      return 'shutting-down';
-    }
-    const index = this.#index;
-    if (index === undefined) {
-      return 'no-configuration';
-    }
-    if (nowMs > this.#freshUntilMs) {
-      return 'host-not-current';
-    }
-    const match = index.findRoute(message.host, message.path, message.method);
-    if (match.kind !== 'found') {
-      return match.kind;
-    }
-    const customer = this.#customerFor(match.route, message, index);
-    if (typeof customer === 'string') {
-      return customer;
-    }
-    return this.#checkLimits(match.route, customer, message, nowMs);
-  }
-
-  #customerFor(
-    route: Route,
-    message: RequestArrived,
-    index: DocumentIndex,
-  ): Customer | ErrorKind | undefined {
-    if (route.openToAll) {
+  /** Asks the keepers of the idempotency key first, where a second run would do harm. */
+  #claim(request: RequestState): readonly CoreMessage[] | undefined {
+    const {requestId, customerId, idempotencyKey, requestDigest, deadlineAtMs} = request;
+    if (request.isIdempotent || idempotencyKey === undefined || customerId === undefined) {
       return undefined;
     }
-    if (message.keyDigest === undefined) {
-      return 'key-missing';
-    }
-    return index.customerOfKey(message.keyDigest) ?? 'key-unknown';
+    const wanted = {requestId, customerId, idempotencyKey, requestDigest, deadlineAtMs};
+    return [{type: 'claimWanted', ...wanted}];
   }
 
-  #checkLimits(
-    route: Route,
-    customer: Customer | undefined,
-    message: RequestArrived,
-    nowMs: number,
-  ): {request: RequestState} | ErrorKind {
-    const backend = this.#index?.backend(route.backend);
-    if (backend === undefined) {
-      return 'no-server';
-    }
-    if ((message.bodyBytes ?? 0) > route.maxBodyBytes) {
-      return 'body-too-large';
-    }
-    const budgetMs = Math.min(message.budgetMs ?? route.timeoutMs, route.timeoutMs);
-    if (budgetMs < this.#options.minAttemptMs) {
-      return 'deadline-too-short';
-    }
-    return {
-      request: {
-        requestId: message.requestId,
-        route,
-        backend,
-        customerId: customer?.id,
-        isIdempotent: isIdempotent(route, message.method),
-        isReplayable: message.isReplayable,
-        deadlineAtMs: nowMs + budgetMs,
-        idempotencyKey: message.idempotencyKey,
-        requestDigest: message.requestDigest,
-        phase: 'server',
-        attempt: 0,
-        hasBeenInDoubt: false,
-        isPermitted: customer === undefined,
-        serverId: undefined,
-        origin: undefined,
-        attemptStartedAtMs: nowMs,
-        headLatencyMs: undefined,
-        excludedServerIds: [],
-      },
-    };
+  #begin(request: RequestState): readonly CoreMessage[] {
+    const {requestId, customerId} = request;
+    const server = this.#wantServer(request);
+    return customerId === undefined
+      ? [server]
+      : [{type: 'permitForeseen', requestId, customerId}, server];
   }
 
   #wantServer(request: RequestState): CoreMessage {
@@ -336,6 +294,7 @@
       return this.#retry(request, 'error', 'server-error');
     }
     request.phase = 'delivering';
+    request.hasServerFailed = isFailure;
     const {requestId, attempt} = request;
     const deliver: CoreMessage = {type: 'deliverAnswer', requestId, attempt};
     return isFailure ? [deliver, this.#count('server.error', request)] : [deliver];
@@ -361,6 +320,10 @@
       return this.#retryOr(request, outcome, kind, nowMs);
     }
     request.hasBeenInDoubt = true;
+    const hasCrashedServers = message.failure === 'lost' && request.losses.length + 1 >= maxLosses;
+    if (hasCrashedServers) {
+      return this.#refuse(request, 'request-crashes-servers', {}, outcome);
+    }
     if (request.isIdempotent) {
       return this.#retryOr(request, outcome, kind, nowMs);
     }
@@ -408,26 +371,63 @@
     }
     request.serverId = undefined;
     request.excludedServerIds.push(serverId);
+    const released: ServerReleased = {
+      type: 'serverReleased',
+      requestId,
+      serverId,
+      backendId: backend.id,
+      routeId: route.id,
+      customerId: request.customerId,
+      outcome,
+      latencyMs: request.headLatencyMs ?? 0,
+    };
+    const withdrawn: CoreMessage = {type: 'requestWithdrawn', requestId};
+    if (outcome !== 'lost') {
+      return [released, withdrawn];
+    }
+    request.losses.push(released);
+    return [withdrawn, ...this.#noteCrash(request, serverId)];
+  }
+
+  /** A connection that broke while the request ran may mean that it crashed the server. */
+  #noteCrash(
+    {customerId = '', route, requestDigest}: RequestState,
+    serverId: string,
+  ): readonly CoreMessage[] {
+    const name = {customerId, routeId: route.id, requestDigest};
+    return requestDigest === '' ? [] : [{type: 'crashNoted', ...name, serverId}];
+  }
+
+  #onFinished(
+    request: RequestState,
+    attempt: number,
+    answer: KeptAnswer | undefined,
+  ): readonly CoreMessage[] {
+    if (request.phase !== 'delivering' || attempt !== request.attempt) {
+      return [];
+    }
+    const {requestId, hasServerFailed} = request;
     return [
-      {
-        type: 'serverReleased',
-        requestId,
-        serverId,
-        backendId: backend.id,
-        routeId: route.id,
-        customerId: request.customerId,
-        outcome,
-        latencyMs: request.headLatencyMs ?? 0,
-      },
-      {type: 'requestWithdrawn', requestId},
+      {type: 'claimSettled', requestId, state: 'answered', answer},
+      ...this.#end(request, hasServerFailed ? 'error' : 'ok'),
+      this.#count('request.answered', request),
     ];
   }
 
-  #onFinished(request: RequestState, attempt: number): readonly CoreMessage[] {
-    if (request.phase !== 'delivering' || attempt !== request.attempt) {
+  #onClaimRefused(
+    request: RequestState,
+    kind: ErrorKind,
+    answer: KeptAnswer | undefined,
+  ): readonly CoreMessage[] {
+    if (request.phase !== 'claim') {
       return [];
     }
-    return [...this.#end(request, 'ok'), this.#count('request.answered', request)];
+    if (answer === undefined) {
+      return this.#refuse(request, kind);
+    }
+    const {requestId} = request;
+    const count = this.#count('request.replayed', request);
+    return [...this.#end(request, 'cancelled'), {type: 'replayAnswer', requestId, answer}, count];
   }
 
   #onCallerLeft(request: RequestState): readonly CoreMessage[] {
@@ -452,6 +452,8 @@
     const {requestId, attempt} = request;
     const cancel: CoreMessage = {type: 'cancelAttempt', requestId, attempt};
     switch (request.phase) {
+      case 'claim':
+        return this.#refuse(request, 'repeat-unknown');
       case 'server':
         return this.#refuse(request, 'overloaded');
       case 'permit':
@@ -464,9 +466,23 @@
     }
   }
 
+  /** Ends a request; one that ran without an answer handed on leaves its claim in doubt. */
   #end(request: RequestState, outcome: WorkOutcome): readonly CoreMessage[] {
-    this.#requests.delete(request.requestId);
-    return this.#release(request, outcome);
+    const {requestId} = request;
+    this.#requests.delete(requestId);
+    const hasNotRun = request.attempt === 0 || outcome === 'shed' || outcome === 'unreachable';
+    const state = hasNotRun && !request.hasBeenInDoubt ? 'not-run' : 'unknown';
+    return [
+      ...this.#release(request, outcome),
+      ...this.#countLosses(request),
+      {type: 'claimSettled', requestId, state},
+    ];
+  }
+
+  /** A request that broke the connections of two servers is to blame itself, not its servers. */
+  #countLosses(request: RequestState): readonly CoreMessage[] {
+    const serverIds = new Set(request.losses.map(({serverId}) => serverId));
+    return serverIds.size > 1 ? [] : request.losses;
   }
 
   #refuse(
--- a/packages/document/src/settingsSchema.ts
+++ b/packages/document/src/settingsSchema.ts
@@ -54,6 +54,14 @@
       maxMessageBytes: z.number().int().min(4_096).default(2_097_152),
     })
     .prefault({}),
+  repeats: z
+    .strictObject({
+      /** Time for which an idempotency key is kept, in ms; the same on every host. Default: 300,000. */
+      keepMs: z.number().int().min(1_000).default(300_000),
+      /** Idempotency keys kept at once. Default: 20,000. */
+      maxKeys: z.number().int().min(100).default(20_000),
+    })
+    .prefault({}),
   shutdown: z
     .strictObject({
       /** Time given to running requests on SIGTERM, in ms. Default: 30,000. */
@@ -81,6 +89,7 @@
 export const DEFAULT_SETTINGS = {
   callers: settingsSchema.shape.callers.parse({}),
   peers: settingsSchema.shape.peers.parse({}),
+  repeats: settingsSchema.shape.repeats.parse({}),
   shutdown: settingsSchema.shape.shutdown.parse({}),
   metrics: settingsSchema.shape.metrics.parse({}),
   log: settingsSchema.shape.log.parse({}),
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -9,6 +9,7 @@
   ErrorKind,
   HostEffect,
   HostEvent,
+  KeptAnswer,
   RefuseRequest,
   StartAttempt,
 } from '@godwitspring/core';
@@ -16,6 +17,7 @@
 import type {BackendCommand} from '../backends/backendMessages.ts';
 import {Mailbox} from '../task/mailbox.ts';
 import type {TimerService} from '../timer/timerService.ts';
+import {AnswerKeeper} from './answerKeeper.ts';
 import {BodyGuard} from './bodyGuard.ts';
 import type {Exchange, PendingAnswer} from './exchange.ts';
 import {customerHeader, deadlineHeader, endToEndHeaders, requestIdHeader} from './headers.ts';
@@ -27,7 +29,7 @@
 export type CallerCommand =
   | Extract<
       HostEffect,
-      {type: 'startAttempt' | 'deliverAnswer' | 'discardAnswer' | 'refuseRequest'}
+      {type: 'startAttempt' | 'deliverAnswer' | 'discardAnswer' | 'refuseRequest' | 'replayAnswer'}
     >
   | {
       readonly type: 'answerArrived';
@@ -236,6 +238,9 @@
       case 'refuseRequest':
         this.#refuse(exchange, command);
         return;
+      case 'replayAnswer':
+        this.#replay(exchange, command.answer);
+        return;
     }
   }
 
@@ -295,9 +300,12 @@
     }
     outgoing.writeHead(answer.status, {...answer.headers, [requestIdHeader]: publicId});
     try {
-      await pipeline(answer.body, outgoing);
+      const keep = new AnswerKeeper(answer.status, answer.headers['content-type']);
+      await (this.#mustKeep(exchange)
+        ? pipeline(answer.body, keep, outgoing)
+        : pipeline(answer.body, outgoing));
       this.#forget(requestId);
-      this.#options.tell({type: 'attemptFinished', requestId, attempt});
+      this.#options.tell({type: 'attemptFinished', requestId, attempt, answer: keep.answer});
     } catch {
       // The head went out; only a broken connection tells the caller that the answer is not whole.
       this.#forget(requestId);
@@ -313,6 +321,27 @@
     }
   }
 
+  #mustKeep({incoming}: Exchange): boolean {
+    return incoming.headers['idempotency-key'] !== undefined;
+  }
+
+  /** Gives the answer of an earlier request with the same idempotency key. */
+  #replay(
+    {requestId, outgoing, publicId}: Exchange,
+    {status, contentType, body}: KeptAnswer,
+  ): void {
+    this.#forget(requestId);
+    const headers: Record<string, string> = {
+      [requestIdHeader]: publicId,
+      'idempotent-replay': 'true',
+    };
+    if (contentType !== undefined) {
+      headers['content-type'] = contentType;
+    }
+    outgoing.writeHead(status, headers);
+    outgoing.end(body);
+  }
+
   #refuse(exchange: Exchange, {requestId, kind, outcome, retryAfterMs}: RefuseRequest): void {
     this.#forget(requestId);
     const {outgoing, incoming, publicId} = exchange;
--- a/packages/proxy/src/host/proxyHost.ts
+++ b/packages/proxy/src/host/proxyHost.ts
@@ -63,6 +63,7 @@
       dataCentre: settings.host.dataCentre,
       random,
       hash,
+      keeper: settings.repeats,
     });
     this.#runner = new CoreRunner({
       core,
@@ -171,6 +172,7 @@
       case 'deliverAnswer':
       case 'discardAnswer':
       case 'refuseRequest':
+      case 'replayAnswer':
         this.#callers.post(effect);
         return;
       case 'cancelAttempt':
