Fault matrix: every fault at every step in virtual time; close leaks of the rate bound it found

A report freed the room of a used token before the time in which it was taken was accounted, so that time accrued twice; the credit of an idle share was not cut to that share of the burst. Change: accrual is settled with the room that was there, then room is freed; idle credit is cut to the share of the burst; rates are cut by the drift bound; use of short-lived tokens is reported at once. Conclusion: what is left fails under cuts and replaced hosts; next.

--- /dev/null
+++ b/packages/bench/src/matrixMain.ts
@@ -0,0 +1,112 @@
+import {fork} from 'node:child_process';
+import {readFile} from 'node:fs/promises';
+import {availableParallelism} from 'node:os';
+import {fileURLToPath} from 'node:url';
+import {loadXxHash} from '@godwitspring/proxy';
+import {allCells} from './matrix/allCells.ts';
+import {runCell} from './matrix/runCell.ts';
+import type {CellResult} from './matrix/runCell.ts';
+
+const progressEvery = 200;
+
+interface Share {
+  readonly first: number;
+  readonly step: number;
+  readonly indexes: readonly number[];
+}
+
+/** Cells named on the command line by their seeds, or all; `--singles` leaves pairs out. */
+function chosenIndexes(args: readonly string[]): number[] {
+  const seeds = args.flatMap((arg) => (arg.startsWith('--seed=') ? [Number(arg.slice(7))] : []));
+  const indexes: number[] = [];
+  for (const [index, {seed, faults}] of allCells().entries()) {
+    const isSingle = faults.length === 1 || !args.includes('--singles');
+    if (seeds.length === 0 ? isSingle : seeds.includes(seed)) {
+      indexes.push(index);
+    }
+  }
+  return indexes;
+}
+
+async function work({first, step, indexes}: Share): Promise<void> {
+  const hash = await loadXxHash();
+  const cells = allCells();
+  for (let position = first; position < indexes.length; position += step) {
+    const cell = cells[indexes[position] ?? 0];
+    if (cell !== undefined) {
+      process.send?.(runCell(cell, hash));
+    }
+  }
+}
+
+async function runWorkers(
+  indexes: readonly number[],
+  take: (result: CellResult) => void,
+): Promise<void> {
+  const workers = Math.min(Math.max(1, availableParallelism() - 1), indexes.length);
+  const ends: Promise<void>[] = [];
+  for (let first = 0; first < workers; first += 1) {
+    const share: Share = {first, step: workers, indexes};
+    const worker = fork(fileURLToPath(import.meta.url), [], {execArgv: ['--import', 'tsx']});
+    worker.on('message', (result) => {
+      take(result as CellResult);
+    });
+    worker.send(share);
+    ends.push(
+      new Promise((resolve, reject) => {
+        worker.once('exit', (code) => {
+          if (code === 0) {
+            resolve();
+            return;
+          }
+          reject(new Error(`a worker ended with code ${code}`));
+        });
+      }),
+    );
+  }
+  await Promise.all(ends);
+}
+
+/** Names of cells that may fail, from the list of known failures. */
+async function knownRed(): Promise<Set<string>> {
+  const text = await readFile('KNOWN-RED.txt', 'utf8').catch(() => '');
+  const names = new Set<string>();
+  for (const line of text.split('\n')) {
+    if (line.startsWith('cell: ')) {
+      names.add(line.slice('cell: '.length).trim());
+    }
+  }
+  return names;
+}
+
+async function main(): Promise<void> {
+  const indexes = chosenIndexes(process.argv.slice(2));
+  const red = await knownRed();
+  const totals = {cells: indexes.length, passed: 0, failed: 0, knownRed: 0};
+  let done = 0;
+  await runWorkers(indexes, ({name, seed, broken}) => {
+    done += 1;
+    if (done % progressEvery === 0) {
+      process.stdout.write(`${done} of ${indexes.length} cells\n`);
+    }
+    if (broken.length === 0) {
+      totals.passed += 1;
+      return;
+    }
+    totals[red.has(name) ? 'knownRed' : 'failed'] += 1;
+    const replay = `npm run matrix -- --seed=${seed}`;
+    process.stdout.write(`FAILED ${name}\n  ${broken.join('\n  ')}\n  replay: ${replay}\n`);
+  });
+  process.stdout.write(`${JSON.stringify(totals)}\n`);
+  process.exitCode = totals.failed === 0 ? 0 : 1;
+}
+
+if (process.send === undefined) {
+  await main();
+} else {
+  process.once('message', (share) => {
+    void work(share as Share).then(() => {
+      process.disconnect();
+    });
+  });
+}
--- a/packages/bench/src/oracles/worstExcess.ts
+++ b/packages/bench/src/oracles/worstExcess.ts
@@ -7,7 +7,10 @@
  * A bucket that starts full and is never refused drops below zero by exactly the excess of the worst
  * window that ends now, so one pass covers every window. Zero or less means the bound holds.
  */
-export function worstExcess(customer: Customer, admittedAtMs: readonly number[]): number {
+export function worstExcess(
+  customer: Pick<Customer, 'ratePerSecond' | 'burstRequests'>,
+  admittedAtMs: readonly number[],
+): number {
   const bucket = new IdealBucket(customer);
   let worst = Number.NEGATIVE_INFINITY;
   for (const atMs of admittedAtMs) {
--- a/packages/core/src/allowance/bucketStock.ts
+++ b/packages/core/src/allowance/bucketStock.ts
@@ -52,8 +52,14 @@
     nowMs: number,
   ): void {
     this.advance(nowMs);
+    if (loan.idleMs > 0) {
+      this.#settleAll(nowMs);
+    }
     const before = this.loans.share;
-    this.loans.hold(loan.lenderId, loan.share, loan.endsAtMs, loan.idleMs);
+    this.loans.hold(loan.lenderId, loan.share, loan.endsAtMs);
+    if (loan.idleMs > 0) {
+      this.#addIdle(loan.share, loan.idleMs, nowMs);
+    }
     if (this.loans.share < before) {
       this.#settleAll(nowMs);
     }
@@ -118,6 +124,7 @@
   report(customerId: string, grantId: number, used: number, nowMs: number): void {
     this.advance(nowMs);
     const stock = this.#stocks.get(customerId);
+    stock?.settle(this.share, this.loans.shareMs, nowMs);
     stock?.report(grantId, used);
     stock?.settle(this.share, this.loans.shareMs, nowMs);
   }
@@ -151,13 +158,27 @@
   addStock(customerId: string, tokens: number, nowMs: number): void {
     this.advance(nowMs);
     const stock = this.#stocks.get(customerId);
+    stock?.settle(this.share, this.loans.shareMs, nowMs);
     stock?.add(tokens);
     stock?.settle(this.share, this.loans.shareMs, nowMs);
   }
 
+  #addIdle(share: number, idleMs: number, nowMs: number): void {
+    for (const stock of this.#stocks.values()) {
+      stock.addIdle(share, idleMs);
+    }
+    this.#settleAll(nowMs);
+  }
+
   #addCustomer(customer: Customer): void {
     this.#customers.set(customer.id, customer);
-    this.#stocks.set(customer.id, new CustomerStock(customer, this.loans.shareMs));
+    this.#stocks.set(
+      customer.id,
+      new CustomerStock(customer, {
+        shareMs: this.loans.shareMs,
+        clockDrift: this.#options.clockDrift,
+      }),
+    );
   }
 
   #settleAll(nowMs: number): void {
--- a/packages/core/src/allowance/customerDemand.ts
+++ b/packages/core/src/allowance/customerDemand.ts
@@ -2,6 +2,7 @@
   readonly homeId: string;
   readonly grantId: number;
   readonly expiresAtMs: number;
+  readonly lifeMs: number;
   left: number;
   used: number;
 }
@@ -11,6 +12,8 @@
   readonly homeId: string;
   readonly grantId: number;
   readonly used: number;
+  /** Life that the tokens had, in ms. */
+  readonly lifeMs: number;
 }
 
 const rateHalfLifeMs = 500;
@@ -48,6 +51,7 @@
         homeId,
         grantId,
         expiresAtMs: askedAtMs + lifeMs,
+        lifeMs,
         left: count,
         used: 0,
       });
@@ -82,7 +86,8 @@
     for (const tokens of this.#held) {
       const isOver = tokens.left === 0 || nowMs >= tokens.expiresAtMs;
       if (isOver) {
-        settled.push({homeId: tokens.homeId, grantId: tokens.grantId, used: tokens.used});
+        const {homeId, grantId, used, lifeMs} = tokens;
+        settled.push({homeId, grantId, used, lifeMs});
         continue;
       }
       kept.push(tokens);
--- a/packages/core/src/allowance/entryTask.ts
+++ b/packages/core/src/allowance/entryTask.ts
@@ -12,6 +12,8 @@
 const askTimeoutMs = 150;
 /** Longest wait for a home that does not answer or cannot judge yet, in ms. */
 const patienceMs = 1_500;
+/** Life of tokens below which their use is reported at once, in ms. */
+const promptReportLifeMs = 100;
 /** Longest wait of a request for the next token of its customer, in ms. */
 const waitOutMs = 40;
 
@@ -137,16 +139,22 @@
         {type: 'count', name: 'permit.granted', tags},
       );
     }
-    this.#collectReports(demand, nowMs);
+    messages.push(...this.#collectReports(demand, nowMs));
     return messages;
   }
 
-  #collectReports(demand: CustomerDemand, nowMs: number): void {
-    for (const {homeId, grantId, used} of demand.takeSettled(nowMs)) {
+  /** Keeps reports for the next ask, but sends those at once whose tokens take much of the burst. */
+  #collectReports(demand: CustomerDemand, nowMs: number): readonly CoreMessage[] {
+    const messages: CoreMessage[] = [];
+    for (const {homeId, grantId, used, lifeMs} of demand.takeSettled(nowMs)) {
       const reports = this.#reports.get(homeId) ?? [];
       reports.push({grantId, used});
       this.#reports.set(homeId, reports);
+      if (lifeMs < promptReportLifeMs) {
+        messages.push(this.#sendAsk(homeId, 0, []));
+      }
     }
+    return messages;
   }
 
   #askIfShort(customerId: string, demand: CustomerDemand, nowMs: number): readonly CoreMessage[] {
--- a/packages/core/src/allowance/loanBook.ts
+++ b/packages/core/src/allowance/loanBook.ts
@@ -45,15 +45,14 @@
     return hasEnded;
   }
 
-  /** Takes a loan or its renewal; `idleMs` tells how long the share had lain idle before. */
-  hold(lenderId: string, share: number, endsAtMs: number, idleMs: number): void {
+  /** Takes a loan or its renewal. */
+  hold(lenderId: string, share: number, endsAtMs: number): void {
     if (endsAtMs <= this.#advancedToMs) {
       return;
     }
     const held = this.#loans.get(lenderId);
     const isLater = held === undefined || endsAtMs > held.endsAtMs;
     this.#loans.set(lenderId, isLater ? {share, endsAtMs} : held);
-    this.#shareMs += share * idleMs;
     this.#recount();
   }
 
--- a/packages/core/src/health/healthEntryTask.ts
+++ b/packages/core/src/health/healthEntryTask.ts
@@ -47,6 +47,7 @@
     'serverReleased',
     'peerMessageReceived',
     'timerFired',
+    'statusWanted',
   ] as const;
 
   readonly #options: HealthOptions;
@@ -84,11 +85,23 @@
           : [];
       case 'timerFired':
         return message.timerId === timerId ? this.#onTimer(nowMs) : [];
+      case 'statusWanted':
+        return [this.#status(message.askId, nowMs)];
       default:
         return [];
     }
   }
 
+  #status(askId: number, nowMs: number): CoreMessage {
+    const value: Record<string, unknown> = {};
+    for (const [serverId, {state, limit, expiresAtMs}] of this.#verdicts) {
+      if (nowMs < expiresAtMs) {
+        value[serverId] = {state, limit, forMs: Math.round(expiresAtMs - nowMs)};
+      }
+    }
+    return {type: 'statusTold', askId, section: 'serverVerdicts', value};
+  }
+
   #note(released: ServerReleased): void {
     const kind = this.#kindOf(released);
     if (kind === undefined) {
--- a/packages/core/src/health/healthHomeTask.ts
+++ b/packages/core/src/health/healthHomeTask.ts
@@ -195,7 +195,7 @@
     )) {
       const loans = this.#buckets.get(bucket)?.loans;
       loans?.advance(nowMs);
-      loans?.hold(lenderId, share, endsAtMs, 0);
+      loans?.hold(lenderId, share, endsAtMs);
     }
   }
 
--- a/packages/core/src/membership/membershipOptions.ts
+++ b/packages/core/src/membership/membershipOptions.ts
@@ -10,7 +10,8 @@
   readonly ejectionLeaseMs: number;
   /** Allowance for reading clocks and for timers that fire late, in ms. Default: 250. */
   readonly slackMs: number;
-  /** Largest relative difference between the rates of two hosts' clocks. Default: 0.001. */
+  /** Largest relative difference between the rates of two hosts' clocks. Default: 0.0005, the most by which
+   *  time synchronisation slews a clock. */
   readonly clockDrift: number;
 }
 
@@ -19,7 +20,7 @@
   rateLeaseMs: 2_000,
   ejectionLeaseMs: 4_000,
   slackMs: 250,
-  clockDrift: 0.001,
+  clockDrift: 0.0005,
 };
 
 /** Length of a loan of one class, counted by the borrower from its ask, in ms. */
