Hand stock to the successor that asks, and number asks apart between processes

A late answer or a doubled return of loans could leave a share with two holders. A new process at a host began its numbers at 1 again, so that a late answer to the old one matched an ask of the new one. Accrual over a change of share used the room after the change. Ruled out: the life of grants and the end of loans; both ended before the lender's lease in the traces. Change: the old home drains, keeps its shares until the successor asks, and hands over on that ask; the successor cuts the tokens by the rate times the time since its ask. Returns name the newest ask; answers still on their way are dropped. Numbers start at random multiples for each process.

--- a/packages/bench/src/matrix/cellContext.ts
+++ b/packages/bench/src/matrix/cellContext.ts
@@ -24,6 +24,7 @@
   /** Moment at which the withdrawn key was first refused by some host; undefined before. */
   withdrawnAtMs: number | undefined;
   drainedAtMs: number | undefined;
+  readonly #listed = new Set<string>();
   readonly #listeners = new Set<(hostId: string, effect: HostEffect) => void>();
   readonly #document: FleetDocument;
   #version = 1;
@@ -37,6 +38,9 @@
     seed: number;
     maxClockDrift: number;
   }) {
+    for (let index = 1; index <= hostCount; index += 1) {
+      this.#listed.add(`host-${index}`);
+    }
     this.#document = testDocument({customers: cellCustomers, serverCount: 12, floorServers: 8});
     this.fleet = new MemoryFleet({
       hostCount,
@@ -58,6 +62,17 @@
     return () => this.#listeners.delete(listener);
   }
 
+  /** Publishes the list of hosts after one came or went. */
+  changeList({without, with: added}: {without?: string; with?: string}): void {
+    if (without !== undefined) {
+      this.#listed.delete(without);
+    }
+    if (added !== undefined) {
+      this.#listed.add(added);
+    }
+    this.fleet.listHosts([...this.#listed]);
+  }
+
   /** Publishes the document after a change to it. */
   change(edit: (document: FleetDocument) => void): void {
     edit(this.#document);
--- a/packages/bench/src/matrix/faultTable.ts
+++ b/packages/bench/src/matrix/faultTable.ts
@@ -112,14 +112,14 @@
   },
   {
     name: 'list late',
-    start: ({fleet, victimId}) => {
-      const left = [...fleet.hosts.keys()].filter((id) => id !== victimId);
+    start: (context) => {
+      const {fleet, victimId} = context;
       const newId = `host-${fleet.hosts.size + 1}`;
       fleet.crashHost(victimId);
-      fleet.startHost(newId);
       fleet.after(5_000, () => {
-        fleet.listHosts([...left, newId]);
+        context.changeList({without: victimId, with: newId});
       });
+      fleet.startHost(newId);
     },
     stop: nothing,
   },
--- a/packages/bench/src/matrix/stepTable.ts
+++ b/packages/bench/src/matrix/stepTable.ts
@@ -40,13 +40,14 @@
   context.drain('nucleo-4');
 }
 
-function beginShutdown({fleet}: CellContext): void {
+function beginShutdown(context: CellContext): void {
+  const {fleet} = context;
   fleet.hosts.get(leaverHostId)?.tell({type: 'shutdownWanted'});
   fleet.after(stopAfterMs, () => {
     fleet.crashHost(leaverHostId);
   });
   fleet.after(2 * stopAfterMs, () => {
-    fleet.listHosts([...fleet.hosts.values()].filter(({isUp}) => isUp).map(({id}) => id));
+    context.changeList({without: leaverHostId});
   });
 }
 
--- a/packages/core/src/allowance/allowanceOptions.ts
+++ b/packages/core/src/allowance/allowanceOptions.ts
@@ -9,6 +9,8 @@
   readonly hash: HashFunction;
   readonly allowanceClass: AllowanceClass;
   readonly bounds: LeaseBounds;
+  /** First number of asks and grants; differs between processes at the same host. Default: 1. */
+  readonly firstNonce: number;
   /** Groups into which customers are hashed; each group has one home. Default: 6. */
   readonly bucketCount: number;
   /** Interval between renewals of loans, in ms. Default: 600. */
@@ -21,6 +23,7 @@
 
 export const DEFAULT_ALLOWANCE_OPTIONS = {
   allowanceClass: 'rates',
+  firstNonce: 1,
   bounds: DEFAULT_LEASE_BOUNDS,
   bucketCount: 6,
   renewIntervalMs: 600,
--- a/packages/core/src/allowance/bucketStock.ts
+++ b/packages/core/src/allowance/bucketStock.ts
@@ -40,29 +40,35 @@
     return this.loans.share;
   }
 
-  /** Brings shares up to date; cuts every customer's tokens where a loan ended. */
+  /** Brings shares up to date; settles every customer before and after each loan that ended. */
   advance(nowMs: number): void {
-    if (this.loans.advance(nowMs)) {
+    while (this.loans.nextEndMs <= nowMs) {
+      const endMs = this.loans.nextEndMs;
+      this.loans.accrueTo(endMs);
+      this.#settleAll(nowMs);
+      this.loans.dropEnded(endMs);
       this.#settleAll(nowMs);
     }
+    this.loans.accrueTo(nowMs);
   }
 
+  /** Takes a loan or its renewal, with what the share saved while it lay idle. */
   hold(
     loan: {lenderId: string; share: number; endsAtMs: number; idleMs: number},
     nowMs: number,
   ): void {
     this.advance(nowMs);
-    if (loan.idleMs > 0) {
-      this.#settleAll(nowMs);
-    }
-    const before = this.loans.share;
-    this.loans.hold(loan.lenderId, loan.share, loan.endsAtMs);
-    if (loan.idleMs > 0) {
-      this.#addIdle(loan.share, loan.idleMs, nowMs);
+    const {lenderId, share, endsAtMs, idleMs} = loan;
+    if (this.loans.isRenewal(lenderId, share) && idleMs === 0) {
+      this.loans.hold(lenderId, share, endsAtMs);
+      return;
     }
-    if (this.loans.share < before) {
-      this.#settleAll(nowMs);
+    this.#settleAll(nowMs);
+    this.loans.hold(lenderId, share, endsAtMs);
+    for (const stock of this.#stocks.values()) {
+      stock.addIdle(share, idleMs);
     }
+    this.#settleAll(nowMs);
   }
 
   /** Takes customers of a new document; tokens accrued so far are kept within the new burst. */
@@ -154,20 +160,28 @@
     return taken;
   }
 
-  /** Takes over tokens from an earlier home, within what the held share covers. */
-  addStock(customerId: string, tokens: number, nowMs: number): void {
+  /**
+   * Takes over tokens that an earlier home gave up at most `elapsedMs` ago.
+   *
+   * What accrued elsewhere meanwhile is at most the rate times that time, so the tokens are cut to what
+   * the share of the burst leaves beside it.
+   */
+  addStock(
+    {customerId, tokens}: {customerId: string; tokens: number},
+    {share, elapsedMs}: {share: number; elapsedMs: number},
+    nowMs: number,
+  ): void {
     this.advance(nowMs);
     const stock = this.#stocks.get(customerId);
-    stock?.settle(this.share, this.loans.shareMs, nowMs);
-    stock?.add(tokens);
-    stock?.settle(this.share, this.loans.shareMs, nowMs);
-  }
-
-  #addIdle(share: number, idleMs: number, nowMs: number): void {
-    for (const stock of this.#stocks.values()) {
-      stock.addIdle(share, idleMs);
+    const customer = this.#customers.get(customerId);
+    if (stock === undefined || customer === undefined) {
+      return;
     }
-    this.#settleAll(nowMs);
+    const {burstRequests, ratePerSecond} = customer;
+    const room = share * burstRequests - (ratePerSecond * elapsedMs) / 1_000;
+    stock.settle(this.share, this.loans.shareMs, nowMs);
+    stock.add(Math.max(0, Math.min(tokens, room)));
+    stock.settle(this.share, this.loans.shareMs, nowMs);
   }
 
   #addCustomer(customer: Customer): void {
--- a/packages/core/src/allowance/entryTask.ts
+++ b/packages/core/src/allowance/entryTask.ts
@@ -42,12 +42,13 @@
   readonly #pendingAsks = new Map<number, PendingAsk>();
   readonly #reports = new Map<string, TokenAsk['settled']>();
   #freshUntilMs = Number.NEGATIVE_INFINITY;
-  #nextAskId = 1;
+  #nextAskId: number;
   #isTicking = false;
 
   constructor(options: Partial<AllowanceOptions> & RequiredAllowanceOptions) {
     this.#options = allowanceOptions(options);
     this.#placement = new HomePlacement(this.#options.hash, this.#options.bucketCount);
+    this.#nextAskId = this.#options.firstNonce;
   }
 
   receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
--- a/packages/core/src/allowance/homeTask.ts
+++ b/packages/core/src/allowance/homeTask.ts
@@ -18,15 +18,20 @@
 const maxKnownGrants = 4_096;
 const maxHandovers = 64;
 
+type StockHandover = Extract<PeerMessage, {type: 'stockHandover'}>;
+
 interface Handover {
-  readonly stock: readonly {customerId: string; tokens: number}[];
-  readonly applyByMs: number;
+  readonly message: StockHandover;
+  /** Moment of the ask that the handover follows, in ms. */
+  readonly askedAtMs: number;
 }
 
 interface Bucket {
   readonly stock: BucketStock;
   /** Set while the home hands nothing out and waits for the last grants to end. */
   drainingSinceMs: number | undefined;
+  /** Since when nothing that was handed out can be used any more. */
+  drainedSinceMs: number | undefined;
   askedAtMs: number;
 }
 
@@ -58,7 +63,7 @@
   #reachableHostIds: readonly string[] = [];
   #ownShare = 0;
   #freshUntilMs = Number.NEGATIVE_INFINITY;
-  #nextGrantId = 1;
+  #nextGrantId: number;
   #isLeaving = false;
   #isTicking = false;
 
@@ -66,6 +71,7 @@
     this.#options = allowanceOptions(options);
     this.#placement = new HomePlacement(this.#options.hash, this.#options.bucketCount);
     this.#holder = new LoanHolder(this.#options);
+    this.#nextGrantId = this.#options.firstNonce;
   }
 
   receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
@@ -124,6 +130,7 @@
       const known = this.#buckets.get(bucket);
       if (known !== undefined) {
         known.drainingSinceMs = undefined;
+        known.drainedSinceMs = undefined;
         continue;
       }
       this.#takeUp(bucket, nowMs);
@@ -141,7 +148,12 @@
     const {minGrantLifeMs, maxGrantLifeMs, bounds} = this.#options;
     const options = {minGrantLifeMs, maxGrantLifeMs, clockDrift: bounds.clockDrift};
     const stock = new BucketStock(this.#customersByBucket.get(bucket) ?? [], options, nowMs);
-    this.#buckets.set(bucket, {stock, drainingSinceMs: undefined, askedAtMs: nowMs});
+    this.#buckets.set(bucket, {
+      stock,
+      drainingSinceMs: undefined,
+      drainedSinceMs: undefined,
+      askedAtMs: nowMs,
+    });
   }
 
   #askLoans(buckets: readonly number[], nowMs: number): readonly CoreMessage[] {
@@ -164,8 +176,12 @@
         return [];
       case 'tokenAsk':
         return this.#onTokenAsk(fromHostId, message, nowMs);
+      case 'loanAsk':
+        return message.allowanceClass === 'rates'
+          ? this.#onSuccessor(fromHostId, message.nonce, message.buckets, nowMs)
+          : [];
       case 'stockHandover':
-        this.#onHandover(message.handoverId, message.stock, nowMs);
+        this.#onHandover(fromHostId, message);
         return [];
       default:
         return [];
@@ -241,18 +257,20 @@
     return stock.share >= settledPart * this.#ownShare * this.#reachableHostIds.length;
   }
 
-  #onHandover(
-    handoverId: string,
-    stock: readonly {customerId: string; tokens: number}[],
-    nowMs: number,
-  ): void {
-    if (this.#seenHandovers.has(handoverId)) {
+  #onHandover(fromHostId: string, message: StockHandover): void {
+    const name = `${fromHostId}:${message.nonce}:${message.bucket}`;
+    const askedAtMs = this.#holder.askedAtMs(message.nonce, fromHostId);
+    if (askedAtMs === undefined || this.#seenHandovers.has(name)) {
       return;
     }
-    this.#seenHandovers.add(handoverId);
-    if (this.#handovers.length < maxHandovers) {
-      this.#handovers.push({stock, applyByMs: nowMs + handoverWaitMs});
+    this.#seenHandovers.add(name);
+    for (const oldest of this.#seenHandovers) {
+      if (this.#seenHandovers.size <= maxHandovers) {
+        break;
+      }
+      this.#seenHandovers.delete(oldest);
     }
+    this.#handovers.push({message, askedAtMs});
   }
 
   #onTick(nowMs: number): readonly CoreMessage[] {
@@ -276,19 +294,41 @@
     return messages;
   }
 
-  #giveUpIfDrained(bucket: number, {stock}: Bucket, nowMs: number): readonly CoreMessage[] {
-    if (stock.hasOutstanding(nowMs)) {
+  /** Notes when a bucket is drained; gives its loans back when no successor asks for long. */
+  #giveUpIfDrained(bucket: number, state: Bucket, nowMs: number): readonly CoreMessage[] {
+    if (state.drainedSinceMs === undefined) {
+      state.drainedSinceMs = state.stock.hasOutstanding(nowMs) ? undefined : nowMs;
       return [];
     }
-    const messages: CoreMessage[] = [];
-    const taken = stock.takeStock(nowMs);
-    const successorId = this.#placement.homeOf(bucket);
+    return nowMs - state.drainedSinceMs >= handoverWaitMs ? this.#giveUp(bucket, state) : [];
+  }
+
+  #giveUp(bucket: number, {stock}: Bucket): readonly CoreMessage[] {
     this.#buckets.delete(bucket);
-    messages.push(...this.#holder.giveBack(stock.loans.lenderIds, bucket));
-    if (successorId !== undefined && successorId !== this.#options.selfId && taken.length > 0) {
-      const handoverId = `${this.#options.selfId}:${nowMs}:${bucket}`;
-      const message: PeerMessage = {type: 'stockHandover', handoverId, stock: taken};
-      messages.push({type: 'sendToPeer', toHostId: successorId, message});
+    return this.#holder.giveBack(stock.loans.lenderIds, bucket);
+  }
+
+  /** Hands drained buckets to the host that asks for their loans. */
+  #onSuccessor(
+    fromHostId: string,
+    nonce: number,
+    buckets: readonly number[],
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    const messages: CoreMessage[] = [];
+    if (fromHostId === this.#options.selfId) {
+      return messages;
+    }
+    for (const bucket of buckets) {
+      const state = this.#buckets.get(bucket);
+      if (state?.drainedSinceMs === undefined) {
+        continue;
+      }
+      const {share} = state.stock;
+      const stock = state.stock.takeStock(nowMs);
+      messages.push(...this.#giveUp(bucket, state));
+      const message: PeerMessage = {type: 'stockHandover', nonce, bucket, share, stock};
+      messages.push({type: 'sendToPeer', toHostId: fromHostId, message});
     }
     return messages;
   }
@@ -297,17 +337,16 @@
   #applyHandovers(nowMs: number): void {
     const waiting = this.#handovers.splice(0);
     for (const handover of waiting) {
-      const isCovered = handover.stock.every(({customerId}) => {
-        const bucket = this.#buckets.get(this.#placement.bucketOf(customerId));
-        return bucket !== undefined && this.#isSettled(bucket);
-      });
-      if (!isCovered && nowMs < handover.applyByMs) {
+      const {bucket, share, stock} = handover.message;
+      const state = this.#buckets.get(bucket);
+      const elapsedMs = nowMs - handover.askedAtMs;
+      const isCovered = state !== undefined && this.#isSettled(state);
+      if (!isCovered && elapsedMs < handoverWaitMs) {
         this.#handovers.push(handover);
         continue;
       }
-      for (const {customerId, tokens} of handover.stock) {
-        const bucket = this.#buckets.get(this.#placement.bucketOf(customerId));
-        bucket?.stock.addStock(customerId, tokens, nowMs);
+      for (const tokens of stock) {
+        state?.stock.addStock(tokens, {share, elapsedMs}, nowMs);
       }
     }
   }
--- a/packages/core/src/allowance/lenderTask.ts
+++ b/packages/core/src/allowance/lenderTask.ts
@@ -85,7 +85,7 @@
       case 'loanAsk':
         return this.#onAsk(fromHostId, message, nowMs);
       case 'loanReturn':
-        this.#onReturn(fromHostId, message.buckets, nowMs);
+        this.#onReturn(fromHostId, message, nowMs);
         return [];
       default:
         return [];
@@ -161,13 +161,23 @@
     if (unheardSinceMs !== undefined && nowMs - unheardSinceMs > this.#leaseMs()) {
       return undefined;
     }
-    this.#loans.set(bucket, {borrowerId, nonce, untilMs, unheardSinceMs});
+    this.#loans.set(bucket, {
+      borrowerId,
+      nonce: Math.max(nonce, loan.nonce),
+      untilMs: Math.max(untilMs, loan.untilMs),
+      unheardSinceMs,
+    });
     return 0;
   }
 
-  #onReturn(fromHostId: string, buckets: readonly number[], nowMs: number): void {
+  #onReturn(
+    fromHostId: string,
+    {buckets, upToNonce}: {buckets: readonly number[]; upToNonce: number},
+    nowMs: number,
+  ): void {
     for (const bucket of buckets) {
-      if (this.#loans.get(bucket)?.borrowerId === fromHostId) {
+      const loan = this.#loans.get(bucket);
+      if (loan?.borrowerId === fromHostId && loan.nonce <= upToNonce && loan.untilMs > nowMs) {
         this.#loans.delete(bucket);
         this.#idleSinceMs.set(bucket, nowMs);
       }
--- a/packages/core/src/allowance/loanBook.ts
+++ b/packages/core/src/allowance/loanBook.ts
@@ -33,18 +33,45 @@
     return [...this.#loans.keys()];
   }
 
+  /** Moment at which the next loan ends, in ms; infinity where there is none. */
+  get nextEndMs(): number {
+    return this.#nextEndMs;
+  }
+
   /** Brings the sums up to date; true where a loan ended. */
   advance(nowMs: number): boolean {
     let hasEnded = false;
     while (this.#nextEndMs <= nowMs) {
-      this.#accrueTo(this.#nextEndMs);
-      this.#dropEnded(this.#nextEndMs);
+      this.accrueTo(this.#nextEndMs);
+      this.dropEnded(this.#nextEndMs);
       hasEnded = true;
     }
-    this.#accrueTo(nowMs);
+    this.accrueTo(nowMs);
     return hasEnded;
   }
 
+  /** Adds the time up to a moment at the share held; no loan may end before it. */
+  accrueTo(momentMs: number): void {
+    const elapsedMs = Math.max(0, momentMs - this.#advancedToMs);
+    this.#shareMs += this.#share * elapsedMs;
+    this.#advancedToMs += elapsedMs;
+  }
+
+  /** Drops the loans that ended by a moment. */
+  dropEnded(momentMs: number): void {
+    for (const [lenderId, {endsAtMs}] of this.#loans) {
+      if (endsAtMs <= momentMs) {
+        this.#loans.delete(lenderId);
+      }
+    }
+    this.#recount();
+  }
+
+  /** True where the lender's share is held already, as large as now. */
+  isRenewal(lenderId: string, share: number): boolean {
+    return this.#loans.get(lenderId)?.share === share;
+  }
+
   /** Takes a loan or its renewal. */
   hold(lenderId: string, share: number, endsAtMs: number): void {
     if (endsAtMs <= this.#advancedToMs) {
@@ -62,21 +89,6 @@
     this.#recount();
   }
 
-  #accrueTo(momentMs: number): void {
-    const elapsedMs = Math.max(0, momentMs - this.#advancedToMs);
-    this.#shareMs += this.#share * elapsedMs;
-    this.#advancedToMs += elapsedMs;
-  }
-
-  #dropEnded(nowMs: number): void {
-    for (const [lenderId, {endsAtMs}] of this.#loans) {
-      if (endsAtMs <= nowMs) {
-        this.#loans.delete(lenderId);
-      }
-    }
-    this.#recount();
-  }
-
   #recount(): void {
     let share = 0;
     let nextEndMs = Number.POSITIVE_INFINITY;
--- a/packages/core/src/allowance/loanHolder.ts
+++ b/packages/core/src/allowance/loanHolder.ts
@@ -17,11 +17,20 @@
 export interface LoanHolderOptions {
   readonly allowanceClass: AllowanceClass;
   readonly bounds: LeaseBounds;
+  /** First number of asks; differs between processes at the same host. */
+  readonly firstNonce: number;
   /** Longest life of what the home hands out of its shares, in ms. */
   readonly maxGrantLifeMs: number;
 }
 
-const maxPendingAsks = 4_096;
+const maxKnownAsks = 4_096;
+
+interface LoanAskRecord {
+  readonly lenderId: string;
+  readonly askedAtMs: number;
+  /** False once an answer was taken, or would come too late to be used. */
+  isOpen: boolean;
+}
 
 /**
  * Borrower's side of loans: asks all hosts and counts each loan from its ask.
@@ -31,12 +40,13 @@
  */
 export class LoanHolder {
   readonly #options: LoanHolderOptions;
-  readonly #pendingAsks = new Map<number, {lenderId: string; askedAtMs: number}>();
+  readonly #asks = new Map<number, LoanAskRecord>();
   readonly #heardNonceByLender = new Map<string, number>();
-  #nextNonce = 1;
+  #nextNonce: number;
 
   constructor(options: LoanHolderOptions) {
     this.#options = options;
+    this.#nextNonce = options.firstNonce;
   }
 
   /** Asks every host of the list for its shares in the buckets. */
@@ -46,7 +56,7 @@
     for (const {id} of list?.hosts ?? []) {
       const nonce = this.#nextNonce;
       this.#nextNonce += 1;
-      this.#pendingAsks.set(nonce, {lenderId: id, askedAtMs: nowMs});
+      this.#asks.set(nonce, {lenderId: id, askedAtMs: nowMs, isOpen: true});
       const heardNonce = this.#heardNonceByLender.get(id) ?? 0;
       const message: PeerMessage = {
         type: 'loanAsk',
@@ -63,11 +73,11 @@
 
   /** Takes an answer; gives the loans in it that still run. */
   take(fromHostId: string, {nonce, share, loans}: LoanAnswer, nowMs: number): GrantedLoan[] {
-    const ask = this.#pendingAsks.get(nonce);
-    this.#pendingAsks.delete(nonce);
-    if (ask?.lenderId !== fromHostId) {
+    const ask = this.#asks.get(nonce);
+    if (ask?.lenderId !== fromHostId || !ask.isOpen) {
       return [];
     }
+    ask.isOpen = false;
     const {allowanceClass, bounds, maxGrantLifeMs} = this.#options;
     const heldMs =
       loanLeaseMs(bounds, allowanceClass) - maxGrantLifeMs * (1 + 2 * bounds.clockDrift);
@@ -86,19 +96,29 @@
     }));
   }
 
-  /** Gives the loans of one bucket back. */
+  /** When the ask of a number went to a host, in ms; undefined for one that did not. */
+  askedAtMs(nonce: number, lenderId: string): number | undefined {
+    const ask = this.#asks.get(nonce);
+    return ask?.lenderId === lenderId ? ask.askedAtMs : undefined;
+  }
+
+  /** Gives the loans of one bucket back; answers that are still on their way are not taken any more. */
   giveBack(lenderIds: readonly string[], bucket: number): CoreMessage[] {
+    for (const ask of this.#asks.values()) {
+      ask.isOpen = false;
+    }
     const {allowanceClass} = this.#options;
-    const message: PeerMessage = {type: 'loanReturn', allowanceClass, buckets: [bucket]};
+    const upToNonce = this.#nextNonce - 1;
+    const message: PeerMessage = {type: 'loanReturn', allowanceClass, upToNonce, buckets: [bucket]};
     return lenderIds.map((toHostId) => ({type: 'sendToPeer', toHostId, message}));
   }
 
   #forgetOldAsks(): void {
-    for (const oldNonce of this.#pendingAsks.keys()) {
-      if (this.#pendingAsks.size <= maxPendingAsks) {
+    for (const oldNonce of this.#asks.keys()) {
+      if (this.#asks.size <= maxKnownAsks) {
         return;
       }
-      this.#pendingAsks.delete(oldNonce);
+      this.#asks.delete(oldNonce);
     }
   }
 }
--- a/packages/core/src/health/healthEntryTask.ts
+++ b/packages/core/src/health/healthEntryTask.ts
@@ -60,12 +60,13 @@
   readonly #sources = new SourceFilter();
   readonly #pendingReports = new Map<number, number>();
   readonly #lastTold = new Map<string, string>();
-  #nextAskId = 1;
+  #nextAskId: number;
   #isTicking = false;
 
   constructor(options: Partial<HealthOptions> & RequiredHealthOptions) {
     this.#options = healthOptions(options);
     this.#placement = new HomePlacement(this.#options.hash, this.#options.bucketCount);
+    this.#nextAskId = this.#options.firstNonce;
   }
 
   receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
--- a/packages/core/src/health/healthHomeTask.ts
+++ b/packages/core/src/health/healthHomeTask.ts
@@ -56,11 +56,12 @@
 
   constructor(options: Partial<HealthOptions> & RequiredHealthOptions) {
     this.#options = healthOptions(options);
-    const {hash, bucketCount, bounds, verdictLifeMs} = this.#options;
+    const {hash, bucketCount, bounds, firstNonce, verdictLifeMs} = this.#options;
     this.#placement = new HomePlacement(hash, bucketCount);
     this.#holder = new LoanHolder({
       allowanceClass: 'ejections',
       bounds,
+      firstNonce,
       maxGrantLifeMs: verdictLifeMs,
     });
   }
--- a/packages/core/src/health/healthOptions.ts
+++ b/packages/core/src/health/healthOptions.ts
@@ -8,6 +8,8 @@
   readonly selfId: string;
   readonly hash: HashFunction;
   readonly bounds: LeaseBounds;
+  /** First number of asks; differs between processes at the same host. Default: 1. */
+  readonly firstNonce: number;
   /** Groups into which backends are hashed; each group has one home. Default: 6. */
   readonly bucketCount: number;
   /** Interval between reports of one host, in ms. Default: 400. */
@@ -25,6 +27,7 @@
 
 export const DEFAULT_HEALTH_OPTIONS = {
   bounds: DEFAULT_LEASE_BOUNDS,
+  firstNonce: 1,
   bucketCount: 6,
   reportIntervalMs: 400,
   verdictLifeMs: 1_500,
--- a/packages/core/src/host/hostCore.ts
+++ b/packages/core/src/host/hostCore.ts
@@ -32,9 +32,9 @@
   /** How a server is chosen. Default: the least loaded of two. */
   readonly choice: ServerChoice;
   /** Tasks that decide on customers' rates. Default: lender, home and entry side of delegated shares. */
-  readonly allowanceTasks: readonly CoreTask[];
+  readonly allowanceTasks: readonly CoreTask[] | undefined;
   /** Tasks that decide on the servers' health. Default: reports to the homes of the backends. */
-  readonly healthTasks: readonly CoreTask[];
+  readonly healthTasks: readonly CoreTask[] | undefined;
   /** How idempotency keys are kept. */
   readonly keeper: Partial<KeeperOptions>;
 }
@@ -44,6 +44,10 @@
   'selfId' | 'dataCentre' | 'random' | 'hash'
 >;
 
+/** Processes at one host start their numbers at random multiples, so that late answers match nothing. */
+const nonceSpace = 1_000_000;
+const noncesPerProcess = 1_000_000_000;
+
 /**
  * All decisions of one host.
  *
@@ -60,26 +64,28 @@
     hash,
     bounds = DEFAULT_LEASE_BOUNDS,
     choice = new LeastLoadedOfTwo(random),
-    allowanceTasks = [
-      new LenderTask({selfId, hash, bounds, allowanceClass: 'rates'}),
-      new HomeTask({selfId, hash, bounds}),
-      new EntryTask({selfId, hash, bounds}),
-    ],
     keeper = {},
-    healthTasks = [
-      new LenderTask({selfId, hash, bounds, allowanceClass: 'ejections'}),
-      new HealthHomeTask({selfId, hash, bounds}),
-      new HealthEntryTask({selfId, hash, bounds}),
-    ],
+    allowanceTasks,
+    healthTasks,
   }: Partial<HostCoreOptions> & RequiredHostCoreOptions) {
     this.#selfId = selfId;
+    const firstNonce = 1 + random.below(nonceSpace) * noncesPerProcess;
+    const common = {selfId, hash, bounds, firstNonce};
     this.#router = new MessageRouter([
       new ConfigurationTask({random}),
-      new MembershipTask({selfId, random, bounds}),
-      ...allowanceTasks,
-      ...healthTasks,
+      new MembershipTask({selfId, random, bounds, firstNonce}),
+      ...(allowanceTasks ?? [
+        new LenderTask({...common, allowanceClass: 'rates'}),
+        new HomeTask(common),
+        new EntryTask(common),
+      ]),
+      ...(healthTasks ?? [
+        new LenderTask({...common, allowanceClass: 'ejections'}),
+        new HealthHomeTask(common),
+        new HealthEntryTask(common),
+      ]),
       new KeeperTask({selfId, hash, ...keeper}),
-      new ClaimTask({selfId, hash}),
+      new ClaimTask({selfId, hash, firstNonce}),
       new CrashTask({selfId, hash}),
       new ServerPoolTask({choice}),
       new RequestTask(),
--- a/packages/core/src/membership/membershipTask.ts
+++ b/packages/core/src/membership/membershipTask.ts
@@ -13,6 +13,8 @@
   readonly selfId: string;
   readonly random: RandomSource;
   readonly bounds: LeaseBounds;
+  /** First number of asks; differs between processes at the same host. Default: 1. */
+  readonly firstNonce: number;
   /** Interval between rounds of heartbeats, in ms. Default: 400. */
   readonly heartbeatIntervalMs: number;
   /** Peers asked in each round. Default: 3. */
@@ -23,6 +25,7 @@
 
 export const DEFAULT_MEMBERSHIP_OPTIONS = {
   bounds: DEFAULT_LEASE_BOUNDS,
+  firstNonce: 1,
   heartbeatIntervalMs: 400,
   heartbeatFanout: 3,
   reachableMs: 2_000,
@@ -62,7 +65,7 @@
   #peerPlatformAtMs = Number.NEGATIVE_INFINITY;
   #documentVersion = 0;
   #freshUntilMs = Number.NEGATIVE_INFINITY;
-  #nextNonce = 1;
+  #nextNonce: number;
   #lastTold = '';
 
   constructor({
@@ -71,6 +74,7 @@
     ...options
   }: Partial<MembershipTaskOptions> & Pick<MembershipTaskOptions, 'selfId' | 'random'>) {
     this.#options = {...DEFAULT_MEMBERSHIP_OPTIONS, ...options, selfId, random};
+    this.#nextNonce = this.#options.firstNonce;
     this.#history = new ListHistory(selfId, retirementMs(this.#options.bounds));
     this.#platformClock = new PlatformClock(this.#options.bounds.clockDrift);
   }
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -96,13 +96,19 @@
 export const loanReturnSchema = z.object({
   type: z.literal('loanReturn'),
   allowanceClass: allowanceClassSchema,
+  /** Newest ask whose loan is given back; loans of later asks stay. */
+  upToNonce: z.number().int(),
   buckets: z.array(z.number().int()),
 });
 
-/** A home that stops hands its saved tokens to its successor. */
+/** A home that stops hands its saved tokens to the host that asked for the bucket's loans. */
 export const stockHandoverSchema = z.object({
   type: z.literal('stockHandover'),
-  handoverId: z.string(),
+  /** Number of the ask that the handover follows. */
+  nonce: z.number().int(),
+  bucket: z.number().int(),
+  /** Share that the tokens were saved under. */
+  share: z.number().min(0).max(1),
   stock: z.array(z.object({customerId: z.string(), tokens: z.number().min(0)})),
 });
 
--- a/packages/core/src/repeats/claimTask.ts
+++ b/packages/core/src/repeats/claimTask.ts
@@ -11,9 +11,11 @@
   readonly hash: HashFunction;
   /** Longest wait for the keepers, in ms. Default: 400. */
   readonly answerTimeoutMs: number;
+  /** Part of the names of claims; differs between processes at the same host. Default: 1. */
+  readonly firstNonce: number;
 }
 
-export const DEFAULT_CLAIM_OPTIONS = {answerTimeoutMs: 400} as const;
+export const DEFAULT_CLAIM_OPTIONS = {answerTimeoutMs: 400, firstNonce: 1} as const;
 
 const timerPrefix = 'claim:';
 
@@ -80,12 +82,12 @@
     nowMs: number,
   ): readonly CoreMessage[] {
     const {requestId, customerId, idempotencyKey, requestDigest, deadlineAtMs} = wanted;
-    const {selfId, hash, answerTimeoutMs} = this.#options;
+    const {selfId, hash, answerTimeoutMs, firstNonce} = this.#options;
     const keeperIds =
       this.#list === undefined
         ? []
         : keepersOf(this.#list, `${customerId}|${idempotencyKey}`, hash);
-    const claimId = `${selfId}/${requestId}/${nowMs}`;
+    const claimId = `${selfId}/${firstNonce}/${requestId}`;
     const claim: Claim = {
       requestId,
       claimId,
