Test the callers' path on sockets; count permits until the last verdict ends

The socket tests found that a connection that closed right after the whole answer was taken for a caller that left, so that the answer was neither counted nor kept for repeats, and that one retry in the budget left a reachable server untried. Change: a server takes its permit until its last verdict has surely ended; a finished answer is no leaving caller; budgets for failures, sheds and unreachable servers are apart and start with a few retries; fewer than three hosts keep keys by their own majority.

--- a/packages/core/src/health/backendDoctor.ts
+++ b/packages/core/src/health/backendDoctor.ts
@@ -137,6 +137,9 @@
       if (state === undefined) {
         continue;
       }
+      if (record.isOut) {
+        record.outUntilMs = Math.max(record.outUntilMs, untilMs);
+      }
       const maxHolders = wholePermits(share, this.#maxHolders(record, nowMs));
       const mayUse = state !== 'ejected' && record.admit(hostId, maxHolders, untilMs, nowMs);
       servers.push({serverId, state, limit: mayUse ? 1 : 0});
@@ -178,7 +181,7 @@
         };
       }
     }
-    return {permits: this.#permits(share), out: this.#outCount(), servers};
+    return {permits: this.#permits(share), out: this.#outCount(nowMs), servers};
   }
 
   #usualRate(serverId: string): number {
@@ -196,17 +199,17 @@
     return wholePermits(share, this.#records.size - floor);
   }
 
-  #outCount(dataCentre?: string): number {
+  #outCount(nowMs: number, dataCentre?: string): number {
     let count = 0;
     for (const record of this.#records.values()) {
       const isThere = dataCentre === undefined || record.dataCentre === dataCentre;
-      count += isThere && record.isOut ? 1 : 0;
+      count += isThere && record.takesPermit(nowMs) ? 1 : 0;
     }
     return count;
   }
 
-  #isPermitted(record: ServerRecord, share: number): boolean {
-    if (this.#outCount() >= this.#permits(share)) {
+  #isPermitted(record: ServerRecord, share: number, nowMs: number): boolean {
+    if (this.#outCount(nowMs) >= this.#permits(share)) {
       return false;
     }
     const {dataCentre} = record;
@@ -215,7 +218,7 @@
       return true;
     }
     const present = [...this.#records.values()].filter((other) => other.dataCentre === dataCentre);
-    return this.#outCount(dataCentre) < wholePermits(share, present.length - least);
+    return this.#outCount(nowMs, dataCentre) < wholePermits(share, present.length - least);
   }
 
   /** Takes servers back into service, the least suspect first, where permits were lost. */
@@ -242,7 +245,7 @@
       this.#unpermitted.delete(record.serverId);
       return this.#judgeCold(record, nowMs);
     }
-    if (!this.#isPermitted(record, share)) {
+    if (!this.#isPermitted(record, share, nowMs)) {
       if (this.#unpermitted.has(record.serverId)) {
         return [];
       }
--- a/packages/core/src/health/serverRecord.ts
+++ b/packages/core/src/health/serverRecord.ts
@@ -12,6 +12,8 @@
   sinceMs: number;
   /** Until when an ejected server is not tried, in ms. */
   holdUntilMs = 0;
+  /** Until when some host may still hold a verdict by which the server is out, in ms. */
+  outUntilMs = 0;
   ejections = 0;
   /** Why the server is not in full service. */
   reason = '';
@@ -44,11 +46,15 @@
     this.isProbed = false;
   }
 
-  /** True where the server counts against the permission to eject. */
   get isOut(): boolean {
     return this.state === 'ejected' || this.state === 'probation';
   }
 
+  /** True where the server counts against the permission to eject, until its last verdict has ended. */
+  takesPermit(nowMs: number): boolean {
+    return this.isOut || nowMs < this.outUntilMs;
+  }
+
   /** Lets a host use the server until `untilMs` where fewer than `maxHolders` others may. */
   admit(hostId: string, maxHolders: number, untilMs: number, nowMs: number): boolean {
     for (const [holderId, endsAtMs] of this.holders) {
--- a/packages/core/src/repeats/claimTask.ts
+++ b/packages/core/src/repeats/claimTask.ts
@@ -124,7 +124,7 @@
       return this.#refuse(claim, state, answer);
     }
     claim.claimed += state === 'claimed' ? 1 : 0;
-    if (claim.claimed >= keeperMajority) {
+    if (claim.claimed >= keeperMajority(claim.keeperIds)) {
       claim.isGranted = true;
       return [{type: 'claimGranted', requestId: claim.requestId}];
     }
--- a/packages/core/src/repeats/keeperRing.ts
+++ b/packages/core/src/repeats/keeperRing.ts
@@ -3,8 +3,10 @@
 
 /** Hosts that keep one idempotency key. */
 export const keeperCount = 3;
-/** Keepers that must agree before a request runs. */
-export const keeperMajority = 2;
+/** How many of the keepers must agree before a request runs. */
+export function keeperMajority(keepers: readonly string[]): number {
+  return Math.floor(keepers.length / 2) + 1;
+}
 
 /** The hosts of a list that keep a key, highest rendezvous weight first. */
 export function keepersOf(list: HostList, key: string, hash: HashFunction): string[] {
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -14,8 +14,8 @@
 import {DocumentIndex} from '../routing/documentIndex.ts';
 import {BlockedRequests} from '../repeats/blockedRequests.ts';
 import {admitRequest, requestName} from './admitRequest.ts';
-import {RetryBudget} from './retryBudget.ts';
-import type {RetryBudgetOptions} from './retryBudget.ts';
+import {DEFAULT_RETRY_BUDGETS_OPTIONS, RetryBudgets} from './retryBudgets.ts';
+import type {RetryBudgetsOptions, RetryCause} from './retryBudgets.ts';
 import type {RequestState} from './requestState.ts';
 
 export interface RequestTaskOptions {
@@ -23,13 +23,13 @@
   readonly maxAttempts: number;
   /** Least time left in which an attempt is worth its start, in ms. Default: 5. */
   readonly minAttemptMs: number;
-  readonly retryBudget: Partial<RetryBudgetOptions>;
+  readonly retryBudgets: RetryBudgetsOptions;
 }
 
 export const DEFAULT_REQUEST_TASK_OPTIONS: RequestTaskOptions = {
   maxAttempts: 3,
   minAttemptMs: 5,
-  retryBudget: {},
+  retryBudgets: DEFAULT_RETRY_BUDGETS_OPTIONS,
 };
 
 const timerPrefix = 'request:';
@@ -59,6 +59,11 @@
   'body-limit': 'cancelled',
 };
 
+const causeByOutcome: Readonly<Partial<Record<WorkOutcome, RetryCause>>> = {
+  unreachable: 'unreachable',
+  shed: 'shed',
+};
+
 /** Leads each request from its arrival to its answer or refusal; decides on retries. */
 export class RequestTask implements CoreTask {
   readonly accepts = [
@@ -82,7 +87,7 @@
   ] as const;
 
   readonly #options: RequestTaskOptions;
-  readonly #retryBudget: RetryBudget;
+  readonly #budgets: RetryBudgets;
   readonly #requests = new Map<number, RequestState>();
   readonly #blocked = new BlockedRequests();
   #index: DocumentIndex | undefined;
@@ -91,7 +96,7 @@
 
   constructor(options: Partial<RequestTaskOptions> = {}) {
     this.#options = {...DEFAULT_REQUEST_TASK_OPTIONS, ...options};
-    this.#retryBudget = new RetryBudget(this.#options.retryBudget);
+    this.#budgets = new RetryBudgets(this.#options.retryBudgets);
   }
 
   receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
@@ -177,7 +182,7 @@
       return this.#refuseAtOnce(requestId, request);
     }
     this.#requests.set(requestId, request);
-    this.#retryBudget.earn();
+    this.#budgets.earn();
     const timerId = `${timerPrefix}${requestId}`;
     return [
       {type: 'timerWanted', timerId, atMs: request.deadlineAtMs},
@@ -290,7 +295,7 @@
       return this.#retryOr(request, 'shed', 'server-shed', nowMs);
     }
     const isFailure = message.status >= 500;
-    if (isFailure && request.isIdempotent && this.#canRetry(request, nowMs)) {
+    if (isFailure && request.isIdempotent && this.#canRetry(request, 'failure', nowMs)) {
       return this.#retry(request, 'error', 'server-error');
     }
     request.phase = 'delivering';
@@ -337,20 +342,20 @@
     kind: ErrorKind,
     nowMs: number,
   ): readonly CoreMessage[] {
-    if (this.#canRetry(request, nowMs)) {
+    if (this.#canRetry(request, causeByOutcome[outcome] ?? 'failure', nowMs)) {
       return this.#retry(request, outcome, kind);
     }
     return this.#refuse(request, kind, {}, outcome);
   }
 
-  #canRetry(request: RequestState, nowMs: number): boolean {
+  #canRetry(request: RequestState, cause: RetryCause, nowMs: number): boolean {
     if (!request.isReplayable || request.attempt >= this.#options.maxAttempts) {
       return false;
     }
     if (request.deadlineAtMs - nowMs < this.#options.minAttemptMs) {
       return false;
     }
-    return this.#retryBudget.spend();
+    return this.#budgets.spend(cause);
   }
 
   #retry(request: RequestState, outcome: WorkOutcome, reason: string): readonly CoreMessage[] {
--- a/packages/core/src/request/retryBudget.ts
+++ b/packages/core/src/request/retryBudget.ts
@@ -3,11 +3,14 @@
   readonly retriesPerRequest: number;
   /** Retries that can be saved. Default: 20. */
   readonly maxSavedRetries: number;
+  /** Retries saved at the start. Default: 5. */
+  readonly firstRetries: number;
 }
 
 export const DEFAULT_RETRY_BUDGET_OPTIONS: RetryBudgetOptions = {
   retriesPerRequest: 0.1,
   maxSavedRetries: 20,
+  firstRetries: 5,
 };
 
 /**
@@ -21,7 +24,7 @@
 
   constructor(options: Partial<RetryBudgetOptions> = {}) {
     this.#options = {...DEFAULT_RETRY_BUDGET_OPTIONS, ...options};
-    this.#saved = Math.min(1, this.#options.maxSavedRetries);
+    this.#saved = Math.min(this.#options.firstRetries, this.#options.maxSavedRetries);
   }
 
   earn(): void {
--- /dev/null
+++ b/packages/proxy/src/__tests__/__fixtures__/smallFleet.ts
@@ -0,0 +1,144 @@
+import {createHash} from 'node:crypto';
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {documentSchema, settingsSchema} from '@godwitspring/document';
+import type {FleetDocument} from '@godwitspring/document';
+import {BackendServerStandin, PlatformStandin} from '@godwitspring/standins';
+import {pino} from 'pino';
+import {ProxyHost} from '../../host/proxyHost.ts';
+import {loadXxHash} from '../../host/xxHash.ts';
+
+export function sha256(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
+}
+
+const dataCentre = 'dc-1';
+const bounds = {
+  freshnessMs: 2_000,
+  rateLeaseMs: 600,
+  ejectionLeaseMs: 2_000,
+  slackMs: 50,
+  clockDrift: 0.0005,
+};
+
+/** One host before one stand-in server and one server written by the test, on loopback. */
+export class SmallFleet {
+  readonly hostOrigin = 'http://127.51.1.1:8080';
+  readonly hostIp = '127.51.1.1';
+  readonly adminOrigin = 'http://127.51.1.1:9900';
+  readonly standin = new BackendServerStandin({
+    serverId: 'standin-1',
+    listenHost: '127.51.2.1',
+    listenPort: 8080,
+  });
+  readonly platform = new PlatformStandin({listenHost: '127.51.0.1', listenPort: 8500});
+  /** Handles requests to the backend `custom`. */
+  onCustom: (request: IncomingMessage, response: ServerResponse) => void = (_request, response) => {
+    response.end('custom');
+  };
+  #custom: Server | undefined;
+  #host: ProxyHost | undefined;
+  #document = SmallFleet.#firstDocument();
+
+  static #firstDocument(): FleetDocument {
+    const server = (id: string, origin: string): object => ({id, origin, dataCentre});
+    return documentSchema.parse({
+      formatVersion: 1,
+      version: 1,
+      author: 'test',
+      reason: 'first',
+      madeAt: '2026-01-01T00:00:00Z',
+      dataCentres: [{id: dataCentre}],
+      customers: [
+        {
+          id: 'cafe',
+          ratePerSecond: 1_000,
+          burstRequests: 1_000,
+          keyDigests: [sha256('cafe-key'), sha256('old-key')],
+        },
+      ],
+      backends: [
+        {id: 'standin', servers: [server('standin-1', 'http://127.51.2.1:8080')]},
+        {id: 'custom', servers: [server('custom-1', 'http://127.51.2.2:8080')]},
+        {
+          id: 'half',
+          servers: [
+            server('half-down', 'http://127.51.2.9:8080'),
+            server('half-up', 'http://127.51.2.2:8080'),
+          ],
+        },
+      ],
+      routes: [
+        {id: 'media', pathPrefix: '/media', backend: 'standin'},
+        {id: 'small', pathPrefix: '/small', backend: 'standin', maxBodyBytes: 1_000},
+        {id: 'custom', pathPrefix: '/custom', backend: 'custom', timeoutMs: 3_000},
+        {id: 'half', pathPrefix: '/half', backend: 'half'},
+        {id: 'open', pathPrefix: '/open', backend: 'standin', openToAll: true},
+      ],
+    });
+  }
+
+  async start(): Promise<void> {
+    this.platform.state.publish(this.#document, sha256);
+    this.platform.state.publishHosts([
+      {id: 'host-1', dataCentre, peerAddress: '127.51.1.1:7000', state: 'live'},
+    ]);
+    await this.platform.start();
+    await this.standin.start();
+    const custom = createServer((request, response) => {
+      this.onCustom(request, response);
+    });
+    this.#custom = custom;
+    await new Promise<void>((resolve) => custom.listen(8080, '127.51.2.2', resolve));
+    const settings = settingsSchema.parse({
+      host: {id: 'host-1', dataCentre},
+      listen: {callers: '127.51.1.1:8080', peers: '127.51.1.1:7000', admin: '127.51.1.1:9900'},
+      platform: {origins: ['http://127.51.0.1:8500'], watchMs: 200},
+      repeats: {keepMs: 1_000},
+      callers: {maxHeadBytes: 8_192},
+      shutdown: {graceMs: 10_000},
+    });
+    const log = pino({level: 'silent'});
+    this.#host = new ProxyHost({settings, log, hash: await loadXxHash(), seed: 1, bounds});
+    await this.#host.start();
+    await this.#untilReady();
+  }
+
+  /** Publishes the next version after a change. */
+  async change(edit: (document: FleetDocument) => void): Promise<void> {
+    const document = structuredClone(this.#document);
+    edit(document);
+    document.version += 1;
+    this.#document = document;
+    this.platform.state.publish(document, sha256);
+    await this.#until(async () => {
+      const status = (await (await fetch(`${this.adminOrigin}/-/status`)).json()) as {
+        configuration: {version: number};
+      };
+      return status.configuration.version === document.version;
+    });
+  }
+
+  async stopHost(): Promise<void> {
+    await this.#host?.stop();
+    this.#host = undefined;
+  }
+
+  async stop(): Promise<void> {
+    await this.stopHost();
+    this.standin.stop();
+    this.platform.stop();
+    this.#custom?.close();
+    this.#custom?.closeAllConnections();
+  }
+
+  async #untilReady(): Promise<void> {
+    await this.#until(async () => (await fetch(`${this.adminOrigin}/-/ready`)).status === 200);
+  }
+
+  async #until(isDone: () => Promise<boolean>): Promise<void> {
+    while (!(await isDone())) {
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/__tests__/callerPath.test.ts
@@ -0,0 +1,271 @@
+import {createHash} from 'node:crypto';
+import {Agent, request as httpRequest} from 'node:http';
+import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+import {connect} from 'node:net';
+import {Readable} from 'node:stream';
+import {patternBytes, patternDigest} from '@godwitspring/standins';
+import {expect} from 'chai';
+import {SmallFleet} from './__fixtures__/smallFleet.ts';
+
+const mebibyte = 1_048_576;
+const key = {'x-api-key': 'cafe-key'};
+
+interface Answer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly sha256: string;
+  readonly text: string;
+  /** True where the answer broke off before its end. */
+  readonly isBroken: boolean;
+}
+
+interface SendOptions {
+  readonly method?: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: Readable | string;
+  readonly agent?: Agent;
+}
+
+async function readAnswer(response: IncomingMessage): Promise<Answer> {
+  const hash = createHash('sha256');
+  let text = '';
+  let isBroken = false;
+  try {
+    for await (const chunk of response) {
+      hash.update(chunk as Buffer);
+      text += text.length < 4_096 ? String(chunk) : '';
+    }
+  } catch {
+    isBroken = true;
+  }
+  const {headers, statusCode: status = 0} = response;
+  return {status, headers, sha256: hash.digest('hex'), text, isBroken};
+}
+
+async function send(url: string, options: SendOptions = {}): Promise<Answer> {
+  const {method = 'GET', headers = key, body, agent} = options;
+  return new Promise((resolve, reject) => {
+    const outgoing = httpRequest(url, {method, headers, agent}, (response) => {
+      void readAnswer(response).then(resolve);
+    });
+    outgoing.on('error', reject);
+    if (body instanceof Readable) {
+      body.pipe(outgoing);
+      return;
+    }
+    outgoing.end(body);
+  });
+}
+
+async function sendRaw(host: string, text: string): Promise<string> {
+  return new Promise((resolve) => {
+    const socket = connect(8080, host, () => {
+      socket.write(text);
+    });
+    let answer = '';
+    socket.on('data', (chunk) => {
+      answer += chunk.toString();
+    });
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      resolve(answer);
+    });
+    socket.setTimeout(3_000, () => socket.destroy());
+  });
+}
+
+describe('the path of a request through one host', () => {
+  const fleet = new SmallFleet();
+  const origin = fleet.hostOrigin;
+
+  before(async () => {
+    await fleet.start();
+  });
+
+  after(async () => {
+    await fleet.stop();
+  });
+
+  it('passes a body of 48 MiB on byte for byte', async () => {
+    const size = 48 * mebibyte;
+    const headers = {...key, 'content-length': String(size)};
+    const body = Readable.from(patternBytes(7, size));
+    const {status, text} = await send(`${origin}/media/video`, {method: 'PUT', headers, body});
+    expect(status).to.equal(200);
+    expect((JSON.parse(text) as {sha256: string}).sha256).to.equal(patternDigest(7, size));
+  });
+
+  it('passes a chunked body on byte for byte', async () => {
+    const size = 3 * mebibyte;
+    const body = Readable.from(patternBytes(8, size));
+    const {text} = await send(`${origin}/media/scan`, {method: 'PUT', body});
+    expect((JSON.parse(text) as {sha256: string}).sha256).to.equal(patternDigest(8, size));
+  });
+
+  it('passes an answer of 48 MiB on byte for byte', async () => {
+    const size = 48 * mebibyte;
+    const {sha256, isBroken} = await send(`${origin}/media/video?bytes=${size}&seed=9`);
+    expect(isBroken).to.equal(false);
+    expect(sha256).to.equal(patternDigest(9, size));
+  });
+
+  it('names the customer in place of the key and drops a forged name', async () => {
+    let seen: IncomingHttpHeaders = {};
+    fleet.onCustom = (request, response) => {
+      seen = request.headers;
+      response.end('ok');
+    };
+    await send(`${origin}/custom`, {headers: {...key, 'x-customer-id': 'somebody-else'}});
+    expect(seen['x-api-key']).to.equal(undefined);
+    expect(seen['x-customer-id']).to.equal('cafe');
+    expect(Number(seen['x-request-timeout-ms'])).to.be.within(1, 3_000);
+  });
+
+  it('drops a forged customer name on a route that is open to all', async () => {
+    const {text} = await send(`${origin}/open`, {headers: {'x-customer-id': 'cafe'}});
+    expect((JSON.parse(text) as {customer: unknown}).customer).to.equal(null);
+  });
+
+  it('breaks the answer visibly when the server breaks off', async () => {
+    fleet.onCustom = (_request, response) => {
+      response.writeHead(200, {'content-length': '1000'});
+      response.write('half');
+      setTimeout(() => response.destroy(), 20);
+    };
+    const {isBroken} = await send(`${origin}/custom`);
+    expect(isBroken).to.equal(true);
+  });
+
+  it('breaks a chunked answer visibly when the server breaks off', async () => {
+    fleet.onCustom = (_request, response) => {
+      response.write('half');
+      setTimeout(() => response.destroy(), 20);
+    };
+    const {isBroken} = await send(`${origin}/custom`);
+    expect(isBroken).to.equal(true);
+  });
+
+  it('does not hand on an answer that belongs to another request', async () => {
+    fleet.onCustom = (_request, response) => {
+      response.setHeader('x-request-id', 'another');
+      response.end('not yours');
+    };
+    const {status, text} = await send(`${origin}/custom`, {method: 'POST', body: 'x'});
+    expect(status).to.equal(502);
+    expect(text).to.include('"outcome":"unknown"').and.not.include('not yours');
+  });
+
+  it('sends an idempotent request to another server when one cannot be reached', async () => {
+    fleet.onCustom = (_request, response) => response.end('up');
+    for (let index = 0; index < 10; index += 1) {
+      const {status} = await send(`${origin}/half`);
+      expect(status).to.equal(200);
+    }
+  });
+
+  it('tells a lost non-idempotent request as unknown and does not send it again', async () => {
+    let runs = 0;
+    fleet.onCustom = (request) => {
+      runs += 1;
+      request.socket.destroy();
+    };
+    const {status, text} = await send(`${origin}/custom`, {method: 'POST', body: 'payment'});
+    expect(status).to.equal(502);
+    expect(text).to.include('"outcome":"unknown"');
+    expect(runs).to.equal(1);
+  });
+
+  it('ends the work at the server when the caller leaves', async () => {
+    const ended = new Promise<void>((resolve) => {
+      fleet.onCustom = (request) => {
+        request.on('close', () => {
+          resolve();
+        });
+      };
+    });
+    const outgoing = httpRequest(`${origin}/custom`, {headers: key});
+    outgoing.on('error', () => undefined);
+    outgoing.end();
+    setTimeout(() => outgoing.destroy(), 50);
+    await ended;
+  });
+
+  it('answers a deadline that has passed as unknown', async () => {
+    fleet.onCustom = () => undefined;
+    const headers = {...key, 'x-request-timeout-ms': '100'};
+    const {status, text} = await send(`${origin}/custom`, {headers, method: 'POST', body: 'x'});
+    expect(status).to.equal(504);
+    expect(text).to.include('"kind":"answer-timeout"').and.include('"outcome":"unknown"');
+  });
+
+  it('refuses a body that is announced too large, and breaks one that grows too large', async () => {
+    const announced = await send(`${origin}/small`, {method: 'PUT', body: 'x'.repeat(2_000)});
+    expect(announced.status).to.equal(413);
+    expect(announced.text).to.include('"outcome":"not-run"');
+    const body = Readable.from(patternBytes(1, 200_000));
+    const chunked = await send(`${origin}/small`, {method: 'PUT', body}).catch(() => undefined);
+    expect(chunked?.status ?? 413).to.equal(413);
+  });
+
+  it('refuses requests that two servers could read differently', async () => {
+    const conflicting =
+      'POST /media/x HTTP/1.1\r\nHost: a\r\nx-api-key: cafe-key\r\n' +
+      'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n';
+    expect(await sendRaw(fleet.hostIp, conflicting)).to.match(/^HTTP\/1.1 400/);
+    const doubled =
+      'POST /media/x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde';
+    expect(await sendRaw(fleet.hostIp, doubled)).to.match(/^HTTP\/1.1 400/);
+    const dotted = 'GET /open/../media/x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n';
+    expect(await sendRaw(fleet.hostIp, dotted)).to.match(/^HTTP\/1.1 400/);
+  });
+
+  it('refuses a head that is too large', async () => {
+    const head = `GET /open HTTP/1.1\r\nHost: a\r\nx-long: ${'y'.repeat(20_000)}\r\n\r\n`;
+    expect(await sendRaw(fleet.hostIp, head)).to.match(/^HTTP\/1.1 431/);
+  });
+
+  it('refuses a withdrawn key on a connection that is already open', async () => {
+    const agent = new Agent({keepAlive: true, maxSockets: 1});
+    const headers = {'x-api-key': 'old-key'};
+    expect((await send(`${origin}/media/1`, {headers, agent})).status).to.equal(200);
+    await fleet.change(({customers}) => customers[0]?.keyDigests.pop());
+    expect((await send(`${origin}/media/1`, {headers, agent})).status).to.equal(401);
+    agent.destroy();
+  });
+
+  it('gives the first answer to a repeat with the same idempotency key', async () => {
+    let runs = 0;
+    fleet.onCustom = (_request, response) => {
+      runs += 1;
+      response.end(`run ${runs}`);
+    };
+    const headers = {...key, 'idempotency-key': 'fee-1'};
+    const first = await send(`${origin}/custom`, {method: 'POST', body: 'fee', headers});
+    const second = await send(`${origin}/custom`, {method: 'POST', body: 'fee', headers});
+    expect(first.text).to.equal('run 1');
+    expect(second.text).to.equal('run 1');
+    expect(second.headers['idempotent-replay']).to.equal('true');
+  });
+
+  it('counts refusals by kind', async () => {
+    await send(`${origin}/none`);
+    const metrics = (await (await fetch(`${fleet.adminOrigin}/-/metrics`)).json()) as Record<
+      string,
+      number
+    >;
+    expect(metrics['request.refused{kind=no-route}']).to.be.at.least(1);
+  });
+
+  it('cuts no request when it shuts down', async () => {
+    fleet.onCustom = (_request, response) => {
+      setTimeout(() => response.end('late but whole'), 400);
+    };
+    const running = send(`${origin}/custom`);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    const stopped = fleet.stopHost();
+    expect((await running).text).to.equal('late but whole');
+    await stopped;
+    const refused = await send(`${origin}/custom`).catch(() => 'refused');
+    expect(refused).to.equal('refused');
+  });
+});
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -399,8 +399,10 @@
     });
   }
 
+  /** A connection that closes after the whole answer went out is no caller that left. */
   #onClosed(requestId: number): void {
-    if (this.#exchanges.has(requestId)) {
+    const exchange = this.#exchanges.get(requestId);
+    if (exchange !== undefined && !exchange.outgoing.writableFinished) {
       this.#forget(requestId);
       this.#options.tell({type: 'callerLeft', requestId});
     }
--- a/packages/proxy/src/host/proxyHost.ts
+++ b/packages/proxy/src/host/proxyHost.ts
@@ -1,5 +1,5 @@
-import {HostCore, SeededRandom} from '@godwitspring/core';
-import type {HashFunction, HostEffect} from '@godwitspring/core';
+import {DEFAULT_LEASE_BOUNDS, HostCore, SeededRandom} from '@godwitspring/core';
+import type {HashFunction, HostEffect, LeaseBounds} from '@godwitspring/core';
 import type {HostSettings} from '@godwitspring/document';
 import {PeerTask} from '@godwitspring/peer';
 import type {PeerReport} from '@godwitspring/peer';
@@ -18,6 +18,8 @@
   readonly settings: HostSettings;
   readonly log: Logger;
   readonly hash: HashFunction;
+  /** Bounds on time; the same on every host. */
+  readonly bounds?: LeaseBounds;
   /** Seed of all random choices of this host. */
   readonly seed: number;
 }
@@ -42,7 +44,7 @@
 
   constructor(options: ProxyHostOptions) {
     this.#options = options;
-    const {settings, hash, seed} = options;
+    const {settings, hash, seed, bounds = DEFAULT_LEASE_BOUNDS} = options;
     const {id: selfId} = settings.host;
     const timers = this.#timers;
     const random = new SeededRandom(seed);
@@ -64,6 +66,7 @@
       random,
       hash,
       keeper: settings.repeats,
+      bounds,
     });
     this.#runner = new CoreRunner({
       core,
