--- /dev/null
+++ b/packages/bench/src/baselines/fixedSplitAllowance.ts
@@ -0,0 +1,45 @@
+import type {CoreMessage, CoreTask} from '@godwitspring/core';
+import {IdealBucket} from '../oracles/idealBucket.ts';
+
+/** Baseline: every host limits each customer to its own part of rate and burst, at least one request. */
+export class FixedSplitAllowance implements CoreTask {
+  readonly accepts = ['documentInForce', 'membershipChanged', 'permitWanted'] as const;
+  readonly #buckets = new Map<string, IdealBucket>();
+  #customers = new Map<string, {ratePerSecond: number; burstRequests: number}>();
+  #hostCount = 1;
+
+  receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
+    switch (message.type) {
+      case 'documentInForce':
+        this.#customers = new Map(message.document.customers.map((one) => [one.id, one]));
+        return [];
+      case 'membershipChanged':
+        if (message.list.hosts.length !== this.#hostCount) {
+          this.#hostCount = message.list.hosts.length;
+          this.#buckets.clear();
+        }
+        return [];
+      case 'permitWanted': {
+        const {requestId, customerId} = message;
+        return this.#bucketOf(customerId).admit(nowMs)
+          ? [{type: 'permitGranted', requestId, usableUntilMs: nowMs + 1_000}]
+          : [{type: 'permitRefused', requestId, kind: 'rate-limited'}];
+      }
+      default:
+        return [];
+    }
+  }
+
+  #bucketOf(customerId: string): IdealBucket {
+    let bucket = this.#buckets.get(customerId);
+    if (bucket === undefined) {
+      const {ratePerSecond = 0, burstRequests = 0} = this.#customers.get(customerId) ?? {};
+      bucket = new IdealBucket({
+        ratePerSecond: ratePerSecond / this.#hostCount,
+        burstRequests: Math.max(1, burstRequests / this.#hostCount),
+      });
+      this.#buckets.set(customerId, bucket);
+    }
+    return bucket;
+  }
+}
--- a/packages/bench/src/fleet/memoryFleet.ts
+++ b/packages/bench/src/fleet/memoryFleet.ts
@@ -50,7 +50,7 @@
   /** Called for each effect of a core, before it is carried out. */
   readonly onEffect: (hostId: string, effect: HostEffect) => void;
   /** Called for each message between hosts. */
-  readonly onMessage: (fromHostId: string, message: PeerMessage) => void;
+  readonly onMessage: (fromHostId: string, message: PeerMessage, toHostId: string) => void;
 }
 
 export const DEFAULT_MEMORY_FLEET_OPTIONS = {
@@ -355,7 +355,7 @@
   }
 
   #send(host: MemoryHost, toHostId: string, message: PeerMessage): void {
-    this.#options.onMessage(host.id, message);
+    this.#options.onMessage(host.id, message, toHostId);
     for (const delayMs of this.link.arrivals(host.id, toHostId, this.#delayMs(host.id, toHostId))) {
       this.after(delayMs, () => {
         this.#receive(host.id, toHostId, message);
--- a/packages/bench/src/matrix/cellContext.ts
+++ b/packages/bench/src/matrix/cellContext.ts
@@ -62,6 +62,11 @@
     return () => this.#listeners.delete(listener);
   }
 
+  /** Hosts that the platform lists in the end. */
+  get listed(): ReadonlySet<string> {
+    return this.#listed;
+  }
+
   /** Publishes the list of hosts after one came or went. */
   changeList({without, with: added}: {without?: string; with?: string}): void {
     if (without !== undefined) {
--- /dev/null
+++ b/packages/core/src/__tests__/decisions.test.ts
@@ -0,0 +1,165 @@
+import fc from 'fast-check';
+import {expect} from 'chai';
+import {wholePermits} from '../allowance/wholePermits.ts';
+import {answerTable} from '../errors/answerTable.ts';
+import {errorKindSchema} from '../errors/errorKinds.ts';
+import {FailureEvidence} from '../health/failureEvidence.ts';
+import {ListHistory} from '../membership/listHistory.ts';
+import {PlatformClock} from '../membership/platformClock.ts';
+import {RetryBudget} from '../request/retryBudget.ts';
+import {FairQueue} from '../routing/fairQueue.ts';
+import type {WaitingRequest} from '../routing/fairQueue.ts';
+import {LeastLoadedOfTwo} from '../routing/leastLoadedOfTwo.ts';
+import {SeededRandom} from '../time/seededRandom.ts';
+
+function waiting(requestId: number, customerId: string, expiresAtMs = 1_000): WaitingRequest {
+  return {requestId, customerId, isRepeatable: true, excludedServerIds: [], expiresAtMs};
+}
+
+describe('whole permits', () => {
+  it('of all homes together are at most the limit', () => {
+    const shares = fc.array(fc.integer({min: 0, max: 48}), {minLength: 1, maxLength: 6});
+    fc.assert(
+      fc.property(shares, fc.integer({min: 0, max: 40}), (parts, limit) => {
+        const total = Math.max(
+          48,
+          parts.reduce((sum, part) => sum + part, 0),
+        );
+        const given = parts.map((part) => wholePermits(part / total, limit));
+        expect(given.reduce((sum, count) => sum + count, 0)).to.be.at.most(limit);
+      }),
+      {numRuns: 2_000, seed: 42},
+    );
+  });
+
+  it('are all there with one of 48 hosts missing', () => {
+    expect(wholePermits(47 / 48, 2)).to.equal(2);
+  });
+});
+
+describe('fair queue', () => {
+  it('serves customers in turn however many wait', () => {
+    const queue = new FairQueue();
+    for (let index = 0; index < 20; index += 1) {
+      queue.add(waiting(index, 'large'));
+    }
+    queue.add(waiting(100, 'small'));
+    queue.add(waiting(101, 'small'));
+    const order: string[] = [];
+    for (let index = 0; index < 4; index += 1) {
+      order.push(queue.take(() => true)?.customerId ?? '');
+    }
+    expect(order).to.deep.equal(['large', 'small', 'large', 'small']);
+  });
+
+  it('takes the place of the longest when it is full', () => {
+    const queue = new FairQueue({maxWaiting: 3});
+    for (let index = 0; index < 3; index += 1) {
+      queue.add(waiting(index, 'large'));
+    }
+    expect(queue.add(waiting(9, 'small'))?.customerId).to.equal('large');
+    expect(queue.size).to.equal(3);
+  });
+
+  it('gives up what waited too long', () => {
+    const queue = new FairQueue();
+    queue.add(waiting(1, 'a', 100));
+    queue.add(waiting(2, 'a', 300));
+    expect(queue.takeExpired(200).map(({requestId}) => requestId)).to.deep.equal([1]);
+  });
+});
+
+describe('evidence against a server', () => {
+  it('reaches the threshold by failures but never by the losses of one host', () => {
+    const failing = new FailureEvidence();
+    const lost = new FailureEvidence();
+    for (let index = 0; index < 20; index += 1) {
+      failing.add('host-1', {good: 1, failed: 1, lost: 0}, 0);
+      lost.add('host-1', {good: 0, failed: 0, lost: 5}, 0);
+    }
+    expect(failing.isEnough(false)).to.equal(true);
+    expect(lost.isEnough(false)).to.equal(false);
+    lost.add('host-2', {good: 0, failed: 0, lost: 5}, 0);
+    expect(lost.isEnough(false)).to.equal(true);
+  });
+
+  it('stays low under usual noise', () => {
+    const evidence = new FailureEvidence();
+    const random = new SeededRandom(3);
+    for (let index = 0; index < 200_000; index += 1) {
+      const failed = random.below(200) === 0 ? 1 : 0;
+      evidence.add('host-1', {good: 1 - failed, failed, lost: 0}, 0.005);
+      expect(evidence.isEnough(false)).to.equal(false);
+    }
+  });
+});
+
+describe('lag of the platform', () => {
+  it('is seen when its clock stands still, without synchronised clocks', () => {
+    const clock = new PlatformClock(0.0005);
+    clock.note(5_000, 100);
+    expect(clock.lagMs(6_000, 1_100, 1_100)).to.be.at.most(2);
+    clock.note(6_000, 1_100);
+    expect(clock.lagMs(6_000, 4_100, 4_100)).to.be.within(2_990, 3_000);
+  });
+});
+
+describe('history of lists', () => {
+  const list = (version: number, ids: readonly string[]) => ({
+    version,
+    asOfMs: 0,
+    hosts: ids.map((id) => ({id, dataCentre: 'd', peerAddress: 'a', state: 'live' as const})),
+  });
+
+  it('unsettles a host that missed a list in between', () => {
+    const history = new ListHistory('a', 1_000);
+    history.adopt(list(1, ['a', 'b']), 0);
+    history.settleLike([list(1, ['a', 'b'])]);
+    expect(history.ownShare()).to.equal(0.5);
+    history.adopt(list(3, ['a', 'b']), 10);
+    expect(history.ownShare()).to.equal(0);
+  });
+
+  it('takes the least share under the lists that bind', () => {
+    const history = new ListHistory('a', 1_000);
+    history.settleLike([list(1, ['a', 'b', 'c'])]);
+    history.adopt(list(2, ['a', 'b']), 10);
+    expect(history.ownShare()).to.equal(1 / 3);
+  });
+
+  it('gives a host no share that an older list does not name', () => {
+    const history = new ListHistory('c', 1_000);
+    history.settleLike([list(1, ['a', 'b']), list(2, ['a', 'b', 'c'])]);
+    expect(history.ownShare()).to.equal(0);
+    history.settleLike([list(2, ['a', 'b', 'c'])]);
+    expect(history.ownShare()).to.equal(1 / 3);
+  });
+});
+
+describe('small parts', () => {
+  it('have an answer for every error kind', () => {
+    for (const kind of errorKindSchema.options) {
+      expect(answerTable[kind].status).to.be.within(400, 599);
+    }
+  });
+
+  it('bound retries to a share of the requests', () => {
+    const budget = new RetryBudget({retriesPerRequest: 0.1, maxSavedRetries: 20, firstRetries: 0});
+    let spent = 0;
+    for (let index = 0; index < 1_000; index += 1) {
+      budget.earn();
+      spent += budget.spend() ? 1 : 0;
+    }
+    expect(spent).to.be.within(95, 100);
+  });
+
+  it('prefer the less loaded of two servers', () => {
+    const choice = new LeastLoadedOfTwo(new SeededRandom(1));
+    const base = {origin: '', dataCentre: '', weight: 1, isTrial: false};
+    const busy = {...base, serverId: 'busy', runningAttempts: 1};
+    const free = {...base, serverId: 'free', runningAttempts: 0};
+    expect(choice.choose([busy, free])?.serverId).to.equal('free');
+    const doubted = {...free, serverId: 'doubted', weight: 0.05};
+    expect(choice.choose([busy, doubted])?.serverId).to.equal('busy');
+  });
+});
--- a/packages/core/src/host/hostCore.ts
+++ b/packages/core/src/host/hostCore.ts
@@ -13,6 +13,7 @@
 import {KeeperTask} from '../repeats/keeperTask.ts';
 import type {KeeperOptions} from '../repeats/keeperTask.ts';
 import {RequestTask} from '../request/requestTask.ts';
+import type {RequestTaskOptions} from '../request/requestTask.ts';
 import {LeastLoadedOfTwo} from '../routing/leastLoadedOfTwo.ts';
 import type {ServerChoice} from '../routing/serverChoice.ts';
 import {ServerPoolTask} from '../routing/serverPoolTask.ts';
@@ -37,6 +38,8 @@
   readonly healthTasks: readonly CoreTask[] | undefined;
   /** How idempotency keys are kept. */
   readonly keeper: Partial<KeeperOptions>;
+  /** How often and when requests are sent again. */
+  readonly request: Partial<RequestTaskOptions>;
 }
 
 export type RequiredHostCoreOptions = Pick<
@@ -65,6 +68,7 @@
     bounds = DEFAULT_LEASE_BOUNDS,
     choice = new LeastLoadedOfTwo(random),
     keeper = {},
+    request = {},
     allowanceTasks,
     healthTasks,
   }: Partial<HostCoreOptions> & RequiredHostCoreOptions) {
@@ -88,7 +92,7 @@
       new ClaimTask({selfId, hash, firstNonce}),
       new CrashTask({selfId, hash}),
       new ServerPoolTask({choice}),
-      new RequestTask(),
+      new RequestTask(request),
     ]);
   }
 
