Tell a request that ran and failed as unknown; bench against baselines; explain rates

Cause: the matrix (poison request with gray, flapping or lying servers) found requests told not run that ran: an idempotent attempt answered 500, was sent again and then refused. Change: such an attempt leaves the request in doubt; freshness is checked again before each attempt; status tells the homes' shares and the entry hosts' demand. Bench with oracles and baselines.

--- /dev/null
+++ b/packages/bench/src/benchMain.ts
@@ -0,0 +1,83 @@
+import {loadXxHash} from '@godwitspring/proxy';
+import {measureDataCentre} from './scenarios/dataCentreScenario.ts';
+import {measureDetection, measureNoise} from './scenarios/ejectionScenario.ts';
+import {fairnessCases, measureFairness} from './scenarios/fairnessScenario.ts';
+import {measureLatency} from './scenarios/latencyScenario.ts';
+import {fixedSplitPolicy, fleetPolicy, serverPolicies} from './scenarios/policies.ts';
+import {disturbances, measureRates} from './scenarios/rateScenario.ts';
+import {measureScale} from './scenarios/scaleScenario.ts';
+import {renderTable} from './scenarios/table.ts';
+import type {Row} from './scenarios/table.ts';
+
+const hostCount = 48;
+const noiseHostCount = 12;
+
+/** Parts of the bench by name; `npm run bench -- NAME…` runs some of them. */
+const parts: Readonly<Record<string, () => Promise<Row[]>>> = {
+  scale: async () => {
+    const hash = await loadXxHash();
+    const rows: Row[] = [];
+    for (const load of [0, 12, 48]) {
+      for (const hosts of [6, 12, 24, 48, 96]) {
+        if (hosts * load <= 2_304) {
+          const {row, byType} = measureScale(hosts, load, hash);
+          rows.push(row);
+          process.stdout.write(`  ${hosts} hosts at ${load}/s: ${JSON.stringify(byType)}\n`);
+        }
+      }
+    }
+    return rows;
+  },
+  rates: async () => {
+    const hash = await loadXxHash();
+    const rows: Row[] = [];
+    for (const disturbance of disturbances) {
+      for (const policy of [fleetPolicy, fixedSplitPolicy]) {
+        rows.push(measureRates(hostCount, policy, disturbance, hash));
+      }
+    }
+    return rows;
+  },
+  fairness: async () => {
+    const hash = await loadXxHash();
+    const rows: Row[] = [];
+    for (const fairnessCase of fairnessCases) {
+      for (const policy of serverPolicies) {
+        rows.push(measureFairness(hostCount, policy, fairnessCase, hash));
+      }
+    }
+    return rows;
+  },
+  detection: async () => {
+    const hash = await loadXxHash();
+    return serverPolicies
+      .filter(({name}) => !name.includes('retries') && !name.includes('round'))
+      .map((policy) => measureDetection(hostCount, policy, hash));
+  },
+  noise: async () => {
+    const hash = await loadXxHash();
+    return [false, true].map((withCuts) =>
+      measureNoise(noiseHostCount, withCuts, fleetPolicy, hash),
+    );
+  },
+  dataCentre: async () => {
+    const hash = await loadXxHash();
+    return [false, true].map((isAbrupt) => measureDataCentre(hostCount, isAbrupt, hash));
+  },
+  latency: () => measureLatency(),
+};
+
+const chosen = process.argv.slice(2);
+const results: Record<string, Row[]> = {};
+for (const [name, run] of Object.entries(parts)) {
+  if (chosen.length > 0 && !chosen.includes(name)) {
+    continue;
+  }
+  const startedAtMs = performance.now();
+  process.stdout.write(`\n${name}\n`);
+  const rows = await run();
+  results[name] = rows;
+  const seconds = Math.round((performance.now() - startedAtMs) / 1_000);
+  process.stdout.write(`${renderTable(rows)}\n  (${seconds} s)\n`);
+}
+process.stdout.write(`${JSON.stringify(results)}\n`);
--- a/packages/core/src/allowance/bucketStock.ts
+++ b/packages/core/src/allowance/bucketStock.ts
@@ -16,6 +16,8 @@
   readonly clockDrift: number;
 }
 
+/** Customers told of in the status of one bucket. */
+const maxToldCustomers = 5;
 /** Part of the burst that one entry host may hold ahead of its demand. */
 const aheadShareOfBurst = 1 / 8;
 /** Part of the burst that may be on its way to entry hosts within the life of a grant. */
@@ -127,6 +129,21 @@
     return {count, lifeMs, retryAfterMs};
   }
 
+  /** Customers with the fewest saved tokens for their burst, for operators. */
+  lowest(nowMs: number): {customerId: string; tokens: number; outstanding: number}[] {
+    this.advance(nowMs);
+    this.#settleAll(nowMs);
+    const known = [...this.#stocks].map(([customerId, stock]) => {
+      const {tokens, outstanding} = stock;
+      const burst = this.#customers.get(customerId)?.burstRequests ?? 1;
+      return {customerId, tokens: Math.round(tokens * 10) / 10, outstanding, part: tokens / burst};
+    });
+    known.sort((one, other) => one.part - other.part);
+    return known
+      .slice(0, maxToldCustomers)
+      .map(({customerId, tokens, outstanding}) => ({customerId, tokens, outstanding}));
+  }
+
   report(customerId: string, grantId: number, used: number, nowMs: number): void {
     this.advance(nowMs);
     const stock = this.#stocks.get(customerId);
--- a/packages/core/src/allowance/entryTask.ts
+++ b/packages/core/src/allowance/entryTask.ts
@@ -33,6 +33,7 @@
     'freshUntil',
     'peerMessageReceived',
     'timerFired',
+    'statusWanted',
   ] as const;
 
   readonly #options: AllowanceOptions;
@@ -71,11 +72,28 @@
           : [];
       case 'timerFired':
         return message.timerId === timerId ? this.#onTick(nowMs) : [];
+      case 'statusWanted':
+        return [this.#status(message.askId, nowMs)];
       default:
         return [];
     }
   }
 
+  #status(askId: number, nowMs: number): CoreMessage {
+    const value: Record<string, unknown> = {};
+    for (const [customerId, demand] of this.#demands) {
+      value[customerId] = {
+        home: this.#placement.homeOf(this.#placement.bucketOf(customerId)),
+        tokens: demand.available(nowMs),
+        waiting: demand.waiting.size,
+        expected: demand.expected.size,
+        dryForMs: Math.max(0, Math.round(demand.dryUntilMs - nowMs)),
+        isAsking: demand.pendingAskId !== undefined,
+      };
+    }
+    return {type: 'statusTold', askId, section: 'customerDemand', value};
+  }
+
   #demandOf(customerId: string): CustomerDemand {
     let demand = this.#demands.get(customerId);
     if (demand === undefined) {
--- a/packages/core/src/allowance/homeTask.ts
+++ b/packages/core/src/allowance/homeTask.ts
@@ -49,6 +49,7 @@
     'peerMessageReceived',
     'timerFired',
     'shutdownWanted',
+    'statusWanted',
   ] as const;
 
   readonly #options: AllowanceOptions;
@@ -90,11 +91,29 @@
       case 'shutdownWanted':
         this.#isLeaving = true;
         return this.#reviseBuckets(nowMs);
+      case 'statusWanted':
+        return [this.#status(message.askId, nowMs)];
       default:
         return [];
     }
   }
 
+  #status(askId: number, nowMs: number): CoreMessage {
+    const value: Record<string, unknown> = {};
+    for (const [bucket, {stock, drainingSinceMs}] of this.#buckets) {
+      stock.advance(nowMs);
+      const {share, loans} = stock;
+      const isHandingOver = drainingSinceMs !== undefined;
+      value[`bucket-${bucket}`] = {
+        share,
+        lenders: loans.lenderIds.length,
+        isHandingOver,
+        lowest: stock.lowest(nowMs),
+      };
+    }
+    return {type: 'statusTold', askId, section: 'rateHome', value};
+  }
+
   #onDocument(document: FleetDocument, nowMs: number): readonly CoreMessage[] {
     this.#customersByBucket = new Map();
     for (const customer of document.customers) {
--- a/packages/core/src/request/requestState.ts
+++ b/packages/core/src/request/requestState.ts
@@ -19,7 +19,7 @@
   phase: RequestPhase;
   /** Number of the attempt that runs or ran last, from 1. */
   attempt: number;
-  /** True once an attempt may have run on a server that did not answer. */
+  /** True once an attempt ran or may have run without an answer that was handed on. */
   hasBeenInDoubt: boolean;
   /** True once the customer's permission was spent. */
   isPermitted: boolean;
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -229,6 +229,9 @@
   ): readonly CoreMessage[] {
     request.serverId = serverId;
     request.origin = origin;
+    if (nowMs > this.#freshUntilMs) {
+      return this.#refuse(request, 'host-not-current');
+    }
     if (request.isPermitted || request.customerId === undefined) {
       return [this.#startAttempt(request, nowMs)];
     }
@@ -296,6 +299,7 @@
     }
     const isFailure = message.status >= 500;
     if (isFailure && request.isIdempotent && this.#canRetry(request, 'failure', nowMs)) {
+      request.hasBeenInDoubt = true;
       return this.#retry(request, 'error', 'server-error');
     }
     request.phase = 'delivering';
