Console, status and explain; smaller and fewer loan messages

Cause: operators need forms whose output is one validated document, and reasons for what the fleet did. Change: console with forms, changes in words, unsafe steps asked twice, keys shown once, Spanish and English; status over the fleet; explain for a server or customer. Numbers of asks fit four bytes, homes ask only for buckets that hold a backend, loans are renewed every 800 ms, weights of placement are remembered.

--- a/packages/bench/src/scenarios/scaleScenario.ts
+++ b/packages/bench/src/scenarios/scaleScenario.ts
@@ -17,6 +17,8 @@
   bytes = 0;
   messages = 0;
   readonly byType = new Map<string, number>();
+  /** Bytes sent and received by each host. */
+  readonly byHost = new Map<string, number>();
   readonly #codecs = new Map<string, PeerCodec>();
 
   note(from: string, message: PeerMessage, to: string): void {
@@ -29,6 +31,9 @@
     const size = codec.encode(message).length + frameBytes;
     this.bytes += size;
     this.messages += 1;
+    for (const id of [from, to]) {
+      this.byHost.set(id, (this.byHost.get(id) ?? 0) + size);
+    }
     this.byType.set(message.type, (this.byType.get(message.type) ?? 0) + size);
   }
 
@@ -36,6 +41,7 @@
     this.bytes = 0;
     this.messages = 0;
     this.byType.clear();
+    this.byHost.clear();
   }
 }
 
@@ -93,6 +99,7 @@
       hosts: hostCount,
       'requests/s per host': requestsPerHostPerSecond,
       'bytes sent/s per host': Math.round(perHost(meter.bytes)),
+      'most in+out/s at one host': Math.round(Math.max(...meter.byHost.values()) / seconds),
       'messages sent/s per host': round(perHost(meter.messages), 1),
       'core CPU % per host': round(perHost(handleMs) / 10, 3),
       'heap MB per host': round((heapUsed() - heapBefore) / hostCount / 1_048_576, 2),
--- /dev/null
+++ b/packages/cli/src/commands/consoleCommand.ts
@@ -0,0 +1,50 @@
+import {ConsoleTask} from '@godwitspring/console';
+import {HttpPlatform, splitAddress} from '@godwitspring/proxy';
+import {Command, Option} from 'clipanion';
+import {untilStopped} from '../untilStopped.ts';
+
+/** Runs the operators' console. */
+export class ConsoleCommand extends Command {
+  static override paths = [['console']];
+
+  static override usage = Command.Usage({
+    description: 'run the operators’ console',
+    details: `
+      Forms over the published document. The output is one validated document, downloaded to the operator,
+      who publishes it; the console itself writes nothing to the platform.
+
+      Exit codes: 0 stopped by a signal, 1 the address is in use.
+    `,
+    examples: [
+      [
+        'Run the console',
+        'godwitspring console --listen 127.0.0.1:8300 --platform http://127.41.0.1:8500',
+      ],
+    ],
+  });
+
+  listen = Option.String('--listen', '127.0.0.1:8300', {description: 'IP:port to serve on'});
+  platform = Option.Array('--platform', {
+    required: true,
+    description: 'origin of the platform; may be repeated',
+  });
+
+  override async execute(): Promise<number> {
+    const {host, port} = splitAddress(this.listen);
+    const platform = new HttpPlatform({origins: this.platform});
+    const console = new ConsoleTask({
+      listenHost: host,
+      listenPort: port,
+      platform,
+      now: () => new Date().toISOString(),
+    });
+    await console.start();
+    this.context.stdout.write(
+      `${JSON.stringify({event: 'console.started', listen: this.listen})}\n`,
+    );
+    await untilStopped();
+    console.stop();
+    await platform.stop();
+    return 0;
+  }
+}
--- a/packages/cli/src/createCli.ts
+++ b/packages/cli/src/createCli.ts
@@ -1,9 +1,12 @@
 import {Builtins, Cli} from 'clipanion';
+import {ConsoleCommand} from './commands/consoleCommand.ts';
 import {CheckCommand} from './commands/checkCommand.ts';
 import {LoadCommand} from './commands/loadCommand.ts';
 import {ProxyCommand} from './commands/proxyCommand.ts';
 import {StandinBackendServerCommand} from './commands/standinBackendServerCommand.ts';
 import {StandinPlatformCommand} from './commands/standinPlatformCommand.ts';
+import {ExplainCommand} from './commands/explainCommand.ts';
+import {StatusCommand} from './commands/statusCommand.ts';
 import {version} from './version.ts';
 
 /** Builds the command line. Exit codes: 0 done, 1 refused or failed, also for unknown flags. */
@@ -17,6 +20,9 @@
   cli.register(Builtins.VersionCommand);
   cli.register(ProxyCommand);
   cli.register(CheckCommand);
+  cli.register(ConsoleCommand);
+  cli.register(StatusCommand);
+  cli.register(ExplainCommand);
   cli.register(LoadCommand);
   cli.register(StandinPlatformCommand);
   cli.register(StandinBackendServerCommand);
--- /dev/null
+++ b/packages/console/src/index.ts
@@ -0,0 +1,5 @@
+/** Operators' console: forms whose output is one validated document. */
+export {ConsoleTask} from './consoleTask.ts';
+export type {ConsoleTaskOptions} from './consoleTask.ts';
+export {describeChanges} from './edits/describeChanges.ts';
+export {findUnsafeSteps} from './edits/findUnsafeSteps.ts';
--- a/packages/core/src/allowance/allowanceOptions.ts
+++ b/packages/core/src/allowance/allowanceOptions.ts
@@ -13,7 +13,7 @@
   readonly firstNonce: number;
   /** Groups into which customers are hashed; each group has one home. Default: 6. */
   readonly bucketCount: number;
-  /** Interval between renewals of loans, in ms. Default: 600. */
+  /** Interval between renewals of loans, in ms. Default: 800. */
   readonly renewIntervalMs: number;
   /** Longest life of tokens at an entry host, in ms. Default: 250. */
   readonly maxGrantLifeMs: number;
@@ -26,7 +26,7 @@
   firstNonce: 1,
   bounds: DEFAULT_LEASE_BOUNDS,
   bucketCount: 6,
-  renewIntervalMs: 600,
+  renewIntervalMs: 800,
   maxGrantLifeMs: 250,
   minGrantLifeMs: 30,
 } as const;
--- a/packages/core/src/allowance/homePlacement.ts
+++ b/packages/core/src/allowance/homePlacement.ts
@@ -1,10 +1,15 @@
 import type {HashFunction} from '../time/hashFunction.ts';
 
+/** Hosts remembered for each host that can be reached, before all are forgotten. */
+const maxRememberedPerHost = 4;
+
 /** Places each bucket on one host by rendezvous hashing, so that a lost host moves its buckets only. */
 export class HomePlacement {
   readonly #hash: HashFunction;
   readonly #bucketCount: number;
   #homeByBucket: readonly (string | undefined)[] = [];
+  #weightsByHost = new Map<string, Uint32Array>();
+  #placedOn = '';
 
   constructor(hash: HashFunction, bucketCount: number) {
     this.#hash = hash;
@@ -13,6 +18,12 @@
 
   /** Places all buckets anew on the hosts that can be reached. */
   place(hostIds: readonly string[]): void {
+    const placedOn = hostIds.join(' ');
+    if (placedOn === this.#placedOn) {
+      return;
+    }
+    this.#placedOn = placedOn;
+    this.#weigh(hostIds);
     const homes: (string | undefined)[] = [];
     for (let bucket = 0; bucket < this.#bucketCount; bucket += 1) {
       homes.push(this.#highest(bucket, hostIds));
@@ -38,11 +49,28 @@
     return buckets;
   }
 
+  /** Hashes each host once, however often it comes and goes. */
+  #weigh(hostIds: readonly string[]): void {
+    if (this.#weightsByHost.size > maxRememberedPerHost * hostIds.length) {
+      this.#weightsByHost.clear();
+    }
+    for (const hostId of hostIds) {
+      if (this.#weightsByHost.has(hostId)) {
+        continue;
+      }
+      const weights = new Uint32Array(this.#bucketCount);
+      for (let bucket = 0; bucket < this.#bucketCount; bucket += 1) {
+        weights[bucket] = this.#hash(`${bucket}@${hostId}`);
+      }
+      this.#weightsByHost.set(hostId, weights);
+    }
+  }
+
   #highest(bucket: number, hostIds: readonly string[]): string | undefined {
     let best: string | undefined;
     let bestWeight = -1;
     for (const hostId of hostIds) {
-      const weight = this.#hash(`${bucket}@${hostId}`);
+      const weight = this.#weightsByHost.get(hostId)?.[bucket] ?? 0;
       if (weight > bestWeight) {
         best = hostId;
         bestWeight = weight;
--- a/packages/core/src/health/healthHomeTask.ts
+++ b/packages/core/src/health/healthHomeTask.ts
@@ -137,7 +137,8 @@
       }
       this.#reviseDoctors(bucket, nowMs);
     }
-    return this.#askLoans(taken, nowMs);
+    const needed = taken.filter((bucket) => (this.#buckets.get(bucket)?.doctors.size ?? 0) > 0);
+    return this.#askLoans(needed, nowMs);
   }
 
   #reviseDoctors(bucket: number, nowMs: number): void {
@@ -239,7 +240,7 @@
     const due: number[] = [];
     for (const [bucket, {loans, doctors, askedAtMs}] of this.#buckets) {
       loans.advance(nowMs);
-      if (nowMs - askedAtMs >= renewIntervalMs) {
+      if (doctors.size > 0 && nowMs - askedAtMs >= renewIntervalMs) {
         due.push(bucket);
       }
       for (const doctor of doctors.values()) {
--- a/packages/core/src/host/hostCore.ts
+++ b/packages/core/src/host/hostCore.ts
@@ -47,9 +47,8 @@
   'selfId' | 'dataCentre' | 'random' | 'hash'
 >;
 
-/** Processes at one host start their numbers at random multiples, so that late answers match nothing. */
-const nonceSpace = 1_000_000;
-const noncesPerProcess = 1_000_000_000;
+/** Processes at one host start their numbers at random, so that late answers match nothing. */
+const nonceSpace = 2 ** 30;
 
 /**
  * All decisions of one host.
@@ -73,7 +72,7 @@
     healthTasks,
   }: Partial<HostCoreOptions> & RequiredHostCoreOptions) {
     this.#selfId = selfId;
-    const firstNonce = 1 + random.below(nonceSpace) * noncesPerProcess;
+    const firstNonce = 1 + random.below(nonceSpace);
     const common = {selfId, hash, bounds, firstNonce};
     this.#router = new MessageRouter([
       new ConfigurationTask({random}),
--- a/packages/document/src/documentSchema.ts
+++ b/packages/document/src/documentSchema.ts
@@ -89,6 +89,8 @@
   formatVersion: z.literal(1),
   /** Grows with every change; a host never goes back to a lower one. */
   version: z.number().int().min(1),
+  /** SHA-256 of the manifest that this version was made from. Default: none, for a first version. */
+  previousDigest: sha256Schema.optional(),
   author: z.string().min(1, 'must name who made the change'),
   reason: z.string().min(1, 'must say why the change was made'),
   /** When the change was made, ISO 8601 in UTC. */
