Tell a crashing request from a dying data centre; retry in another data centre

Cause: with one path asked by all, the death of a data centre lost many equal requests at once; the count of crashes took that for a request that crashes servers and refused it everywhere for ten minutes. A retry goes to another data centre first.

--- a/packages/bench/src/__tests__/repeats.test.ts
+++ b/packages/bench/src/__tests__/repeats.test.ts
@@ -87,6 +87,23 @@
     expect(runsOf(fleet, 'large/k4')).to.equal(1);
   });
 
+  it('goes on with a common request when a data centre dies under many of it', () => {
+    for (let turn = 0; turn < 60; turn += 1) {
+      fleet.after(turn * 5, () => fleet.request(`host-${1 + (turn % 9)}`, 'large'));
+    }
+    fleet.after(150, () => {
+      for (const [index, server] of [...fleet.servers.values()].entries()) {
+        if (index % 3 === 1) {
+          server.crash(60_000);
+        }
+      }
+    });
+    fleet.run(3_000);
+    const later = fleet.request('host-2', 'large');
+    fleet.run(1_000);
+    expect(outcomeOf(fleet, later)).to.equal(200);
+  });
+
   it('stops a request that crashes servers everywhere after two crashes, without blaming a server', () => {
     const first = fleet.request('host-1', 'large', {path: poisonPath});
     fleet.run(1_000);
--- a/packages/core/src/messages/coreMessage.ts
+++ b/packages/core/src/messages/coreMessage.ts
@@ -46,6 +46,8 @@
   request.claimRefusedSchema,
   request.claimSettledSchema,
   request.crashNotedSchema,
+  request.answerWatchedSchema,
+  request.crashDisprovedSchema,
   request.repeatsBlockedSchema,
   request.permitForeseenSchema,
   request.permitWantedSchema,
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -246,6 +246,24 @@
   routeId: z.string(),
   requestDigest: z.string().max(64),
   serverId: z.string(),
+  /** Time for which the attempt ran, in ms. */
+  ranForMs: z.number().min(0),
+});
+
+/** A request may have crashed a server; a host that sees it answered says so. */
+export const requestSuspectedSchema = z.object({
+  type: z.literal('requestSuspected'),
+  customerId: z.string(),
+  routeId: z.string(),
+  requestDigest: z.string().max(64),
+});
+
+/** A suspected request was answered and did no harm. */
+export const requestClearedSchema = z.object({
+  type: z.literal('requestCleared'),
+  customerId: z.string(),
+  routeId: z.string(),
+  requestDigest: z.string().max(64),
 });
 
 /** A request that crashed servers is to be refused by every host. */
@@ -282,6 +300,8 @@
   claimAnswerSchema,
   claimEndedSchema,
   crashSeenSchema,
+  requestSuspectedSchema,
+  requestClearedSchema,
   requestBlockedSchema,
   leavingSchema,
 ]);
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -106,6 +106,24 @@
   routeId: z.string(),
   requestDigest: z.string(),
   serverId: z.string(),
+  /** Time for which the attempt ran, in ms. */
+  ranForMs: z.number(),
+});
+
+/** A request may have crashed a server: the next good answer to it is to be told. */
+export const answerWatchedSchema = z.object({
+  type: z.literal('answerWatched'),
+  customerId: z.string(),
+  routeId: z.string(),
+  requestDigest: z.string(),
+});
+
+/** A request that is watched was answered. */
+export const crashDisprovedSchema = z.object({
+  type: z.literal('crashDisproved'),
+  customerId: z.string(),
+  routeId: z.string(),
+  requestDigest: z.string(),
 });
 
 /** Repeats of the request are to be refused on this host. */
--- a/packages/core/src/request/admitRequest.ts
+++ b/packages/core/src/request/admitRequest.ts
@@ -78,6 +78,7 @@
     serverId: undefined,
     origin: undefined,
     attemptStartedAtMs: nowMs,
+    ranForMs: 0,
     headLatencyMs: undefined,
     excludedServerIds: [],
     losses: [],
--- a/packages/core/src/request/requestState.ts
+++ b/packages/core/src/request/requestState.ts
@@ -28,6 +28,8 @@
   serverId: string | undefined;
   origin: string | undefined;
   attemptStartedAtMs: number;
+  /** Time for which the last attempt ran before it failed, in ms. */
+  ranForMs: number;
   headLatencyMs: number | undefined;
   readonly excludedServerIds: string[];
   /** Losses of this request that are not yet counted against their servers. */
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -12,7 +12,7 @@
   WorkOutcome,
 } from '../messages/requestMessages.ts';
 import {DocumentIndex} from '../routing/documentIndex.ts';
-import {BlockedRequests} from '../repeats/blockedRequests.ts';
+import {RequestNames} from '../repeats/requestNames.ts';
 import {admitRequest, requestName} from './admitRequest.ts';
 import {DEFAULT_RETRY_BUDGETS_OPTIONS, RetryBudgets} from './retryBudgets.ts';
 import type {RetryBudgetsOptions, RetryCause} from './retryBudgets.ts';
@@ -33,6 +33,8 @@
 };
 
 const timerPrefix = 'request:';
+/** Time for which a request that may have crashed a server is watched for a good answer, in ms. */
+const watchAnswerMs = 60_000;
 /** Connections that one request may break before it is not sent again. */
 const maxLosses = 2;
 
@@ -71,6 +73,7 @@
     'claimGranted',
     'claimRefused',
     'repeatsBlocked',
+    'answerWatched',
     'serverGranted',
     'serverRefused',
     'permitGranted',
@@ -89,7 +92,8 @@
   readonly #options: RequestTaskOptions;
   readonly #budgets: RetryBudgets;
   readonly #requests = new Map<number, RequestState>();
-  readonly #blocked = new BlockedRequests();
+  readonly #blocked = new RequestNames();
+  readonly #watched = new RequestNames();
   #index: DocumentIndex | undefined;
   #freshUntilMs = Number.NEGATIVE_INFINITY;
   #isShuttingDown = false;
@@ -110,7 +114,12 @@
         return [];
       case 'repeatsBlocked': {
         const {customerId, routeId, requestDigest, untilMs} = message;
-        this.#blocked.block(requestName(customerId, routeId, requestDigest), untilMs);
+        this.#blocked.add(requestName(customerId, routeId, requestDigest), untilMs);
+        return [];
+      }
+      case 'answerWatched': {
+        const {customerId, routeId, requestDigest} = message;
+        this.#watched.add(requestName(customerId, routeId, requestDigest), nowMs + watchAnswerMs);
         return [];
       }
       case 'shutdownWanted':
@@ -155,7 +164,7 @@
       case 'attemptFailed':
         return this.#onFailed(request, message, nowMs);
       case 'attemptFinished':
-        return this.#onFinished(request, message.attempt, message.answer);
+        return this.#onFinished(request, message.attempt, message.answer, nowMs);
       case 'callerLeft':
         return this.#onCallerLeft(request);
       default:
@@ -175,7 +184,7 @@
       isFresh: nowMs <= this.#freshUntilMs,
       isShuttingDown: this.#isShuttingDown,
       minAttemptMs: this.#options.minAttemptMs,
-      isBlocked: (name) => this.#blocked.isBlocked(name, nowMs),
+      isBlocked: (name) => this.#blocked.has(name, nowMs),
       nowMs,
     });
     if (typeof request === 'string') {
@@ -317,6 +326,7 @@
     if (message.attempt !== request.attempt) {
       return [];
     }
+    request.ranForMs = nowMs - request.attemptStartedAtMs;
     const outcome = workOutcomeByFailure[message.failure];
     if (request.phase === 'delivering') {
       return this.#end(request, outcome);
@@ -400,17 +410,31 @@
 
   /** A connection that broke while the request ran may mean that it crashed the server. */
   #noteCrash(
-    {customerId = '', route, requestDigest}: RequestState,
+    {customerId = '', route, requestDigest, ranForMs}: RequestState,
     serverId: string,
   ): readonly CoreMessage[] {
     const name = {customerId, routeId: route.id, requestDigest};
-    return requestDigest === '' ? [] : [{type: 'crashNoted', ...name, serverId}];
+    return requestDigest === '' ? [] : [{type: 'crashNoted', ...name, serverId, ranForMs}];
+  }
+
+  /** Tells that a request that may have crashed a server was answered well. */
+  #clear(
+    {customerId = '', route, requestDigest}: RequestState,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    const name = requestName(customerId, route.id, requestDigest);
+    if (!this.#watched.has(name, nowMs)) {
+      return [];
+    }
+    this.#watched.delete(name);
+    return [{type: 'crashDisproved', customerId, routeId: route.id, requestDigest}];
   }
 
   #onFinished(
     request: RequestState,
     attempt: number,
     answer: KeptAnswer | undefined,
+    nowMs: number,
   ): readonly CoreMessage[] {
     if (request.phase !== 'delivering' || attempt !== request.attempt) {
       return [];
@@ -419,6 +443,7 @@
     return [
       {type: 'claimSettled', requestId, state: 'answered', answer},
       ...this.#end(request, hasServerFailed ? 'error' : 'ok'),
+      ...(hasServerFailed ? [] : this.#clear(request, nowMs)),
       this.#count('request.answered', request),
     ];
   }
--- a/packages/core/src/routing/serverPoolTask.ts
+++ b/packages/core/src/routing/serverPoolTask.ts
@@ -214,8 +214,7 @@
   #grant(pool: Pool, waiting: WaitingRequest): CoreMessage | undefined {
     const {requestId, isRepeatable, excludedServerIds} = waiting;
     const candidates = this.#candidates(pool).filter(({isTrial}) => isRepeatable || !isTrial);
-    const untried = candidates.filter(({serverId}) => !excludedServerIds.includes(serverId));
-    const open = untried.length > 0 ? untried : candidates;
+    const open = this.#preferUntried(pool, candidates, excludedServerIds);
     const server = open.find(({isTrial}) => isTrial) ?? this.#options.choice.choose(open);
     if (server === undefined) {
       return undefined;
@@ -226,6 +225,27 @@
     return {type: 'serverGranted', requestId, serverId, origin};
   }
 
+  /** Leaves out tried servers and, while others are left, the data centres that they stand in. */
+  #preferUntried(
+    {servers}: Pool,
+    candidates: readonly ServerCandidate[],
+    excludedServerIds: readonly string[],
+  ): readonly ServerCandidate[] {
+    if (excludedServerIds.length === 0) {
+      return candidates;
+    }
+    const tried = servers.filter(({serverId}) => excludedServerIds.includes(serverId));
+    const triedDataCentres = new Set(tried.map(({dataCentre}) => dataCentre));
+    const untried = candidates.filter(({serverId}) => !excludedServerIds.includes(serverId));
+    const elsewhere = untried.filter(({dataCentre}) => !triedDataCentres.has(dataCentre));
+    for (const preferred of [elsewhere, untried]) {
+      if (preferred.length > 0) {
+        return preferred;
+      }
+    }
+    return candidates;
+  }
+
   #candidates({backend, servers, limits}: Pool): ServerCandidate[] {
     const candidates: ServerCandidate[] = [];
     for (const {serverId, origin, dataCentre, isInService} of servers) {
