Divide the slots of backend servers over the fleet

Change: the home of a backend hands each slot to one host at a time; hosts park a slot briefly, give it back after half a second of use or when it is asked back, and go on alone when the home is silent.

--- a/packages/bench/src/scenarios/policies.ts
+++ b/packages/bench/src/scenarios/policies.ts
@@ -22,12 +22,23 @@
 /** Baselines of server choice, ejection and retries; the customers' rates stay the product's. */
 export const serverPolicies: readonly Policy[] = [
   fleetPolicy,
-  {name: 'round robin, no ejection', core: () => ({choice: new RoundRobin(), healthTasks: []})},
-  {name: 'consecutive failures', core: () => ({healthTasks: [new ConsecutiveFailures()]})},
-  {name: "paper's breaker", core: () => ({healthTasks: [new CircuitBreaker()]})},
+  {name: 'fleet without slots', core: () => ({hasFleetSlots: false})},
+  {
+    name: 'round robin, no ejection',
+    core: () => ({hasFleetSlots: false, choice: new RoundRobin(), healthTasks: []}),
+  },
+  {
+    name: 'consecutive failures',
+    core: () => ({hasFleetSlots: false, healthTasks: [new ConsecutiveFailures()]}),
+  },
+  {
+    name: "paper's breaker",
+    core: () => ({hasFleetSlots: false, healthTasks: [new CircuitBreaker()]}),
+  },
   {
     name: 'three plain retries',
     core: () => ({
+      hasFleetSlots: false,
       healthTasks: [],
       request: {
         maxAttempts: 4,
--- a/packages/core/src/health/backendDoctor.ts
+++ b/packages/core/src/health/backendDoctor.ts
@@ -34,6 +34,7 @@
   readonly #records = new Map<string, ServerRecord>();
   readonly #unpermitted = new Set<string>();
   #backend: Backend | undefined;
+  #withheldTold = '';
   #startedAtMs: number;
 
   constructor(options: HealthOptions, nowMs: number) {
@@ -147,6 +148,22 @@
     return servers;
   }
 
+  /** Tells which servers are not in full service, when that has changed. */
+  tellWithheld(): readonly CoreMessage[] {
+    const serverIds: string[] = [];
+    for (const {serverId, state} of this.#records.values()) {
+      if (state !== undefined) {
+        serverIds.push(serverId);
+      }
+    }
+    const told = serverIds.join(' ');
+    if (told === this.#withheldTold || this.#backend === undefined) {
+      return [];
+    }
+    this.#withheldTold = told;
+    return [{type: 'serversWithheld', backendId: this.#backend.id, serverIds}];
+  }
+
   /** Takes the answer to a probe of an ejected server: bad keeps it out, good only allows trials. */
   probed(serverId: string, isHealthy: boolean, nowMs: number): void {
     const record = this.#records.get(serverId);
--- a/packages/core/src/health/healthHomeTask.ts
+++ b/packages/core/src/health/healthHomeTask.ts
@@ -218,7 +218,7 @@
       bucket.loans.advance(nowMs);
       const {share} = bucket.loans;
       doctor.report(fromHostId, reported, nowMs);
-      messages.push(...doctor.decide(share, isAlone, nowMs));
+      messages.push(...doctor.decide(share, isAlone, nowMs), ...doctor.tellWithheld());
       backends.push({backendId, servers: doctor.verdictFor(fromHostId, share, nowMs)});
     }
     const {verdictLifeMs: lifeMs} = this.#options;
@@ -245,6 +245,7 @@
       }
       for (const doctor of doctors.values()) {
         messages.push(...doctor.decide(loans.share, this.#reachableCount <= 1, nowMs));
+        messages.push(...doctor.tellWithheld());
       }
     }
     messages.push(...this.#askLoans(due, nowMs));
--- a/packages/core/src/host/hostCore.ts
+++ b/packages/core/src/host/hostCore.ts
@@ -17,6 +17,8 @@
 import {LeastLoadedOfTwo} from '../routing/leastLoadedOfTwo.ts';
 import type {ServerChoice} from '../routing/serverChoice.ts';
 import {ServerPoolTask} from '../routing/serverPoolTask.ts';
+import {FleetSlots} from '../slots/fleetSlots.ts';
+import {SlotHomeTask} from '../slots/slotHomeTask.ts';
 import type {HashFunction} from '../time/hashFunction.ts';
 import type {RandomSource} from '../time/randomSource.ts';
 import type {CoreTask} from './coreTask.ts';
@@ -36,6 +38,8 @@
   readonly allowanceTasks: readonly CoreTask[] | undefined;
   /** Tasks that decide on the servers' health. Default: reports to the homes of the backends. */
   readonly healthTasks: readonly CoreTask[] | undefined;
+  /** True to divide the slots of servers over the fleet. Default: true. */
+  readonly hasFleetSlots: boolean;
   /** How idempotency keys are kept. */
   readonly keeper: Partial<KeeperOptions>;
   /** How often and when requests are sent again. */
@@ -66,6 +70,7 @@
     hash,
     bounds = DEFAULT_LEASE_BOUNDS,
     choice = new LeastLoadedOfTwo(random),
+    hasFleetSlots = true,
     keeper = {},
     request = {},
     allowanceTasks,
@@ -90,7 +95,11 @@
       new KeeperTask({selfId, hash, ...keeper}),
       new ClaimTask({selfId, hash, firstNonce}),
       new CrashTask({selfId, hash}),
-      new ServerPoolTask({choice}),
+      ...(hasFleetSlots ? [new SlotHomeTask({selfId, hash, random, firstNonce})] : []),
+      new ServerPoolTask({
+        choice,
+        slots: hasFleetSlots ? new FleetSlots({selfId, hash, firstNonce}) : undefined,
+      }),
       new RequestTask(request),
     ]);
   }
--- a/packages/core/src/messages/coreMessage.ts
+++ b/packages/core/src/messages/coreMessage.ts
@@ -59,6 +59,7 @@
   request.serverReleasedSchema,
   request.requestWithdrawnSchema,
   request.serverLimitsSchema,
+  request.serversWithheldSchema,
   host.documentInForceSchema,
   host.membershipChangedSchema,
   host.freshUntilSchema,
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -201,6 +201,44 @@
   ),
 });
 
+/** An entry host asks the home of a backend for slots of its servers. */
+export const slotAskSchema = z.object({
+  type: z.literal('slotAsk'),
+  askId: z.number().int(),
+  backendId: z.string(),
+  /** Servers that are of no use to the waiting request. */
+  avoidedIds: z.array(z.string()),
+});
+
+/** One slot, or the word that the ask waits until one is free. */
+export const slotAnswerSchema = z.object({
+  type: z.literal('slotAnswer'),
+  askId: z.number().int(),
+  backendId: z.string(),
+  slot: z.object({slotId: z.number().int(), serverId: z.string()}).optional(),
+});
+
+/** The sender uses the slots no more. */
+export const slotReturnSchema = z.object({
+  type: z.literal('slotReturn'),
+  backendId: z.string(),
+  slotIds: z.array(z.number().int()),
+});
+
+/** The sender still uses the slots. */
+export const slotKeepSchema = z.object({
+  type: z.literal('slotKeep'),
+  backendId: z.string(),
+  slotIds: z.array(z.number().int()),
+});
+
+/** A home asks for a slot back as soon as its request has ended; others wait. */
+export const slotRecallSchema = z.object({
+  type: z.literal('slotRecall'),
+  backendId: z.string(),
+  slotIds: z.array(z.number().int()),
+});
+
 /** A whole answer that is small enough to be given again. */
 export const keptAnswerSchema = z.object({
   status: z.number().int(),
@@ -300,6 +338,11 @@
   claimAnswerSchema,
   claimEndedSchema,
   crashSeenSchema,
+  slotAskSchema,
+  slotAnswerSchema,
+  slotReturnSchema,
+  slotKeepSchema,
+  slotRecallSchema,
   requestSuspectedSchema,
   requestClearedSchema,
   requestBlockedSchema,
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -230,6 +230,13 @@
   ),
 });
 
+/** Servers of a backend whose slots its home does not hand out, because they are out or ramped. */
+export const serversWithheldSchema = z.object({
+  type: z.literal('serversWithheld'),
+  backendId: z.string(),
+  serverIds: z.array(z.string()),
+});
+
 /** The request needs neither permission nor server any more. */
 export const requestWithdrawnSchema = z.object({
   type: z.literal('requestWithdrawn'),
--- a/packages/core/src/routing/fairQueue.ts
+++ b/packages/core/src/routing/fairQueue.ts
@@ -40,6 +40,14 @@
     return this.#size;
   }
 
+  /** The request that is next in turn. */
+  get first(): WaitingRequest | undefined {
+    for (const [first] of this.#queues.values()) {
+      return first;
+    }
+    return undefined;
+  }
+
   /** Adds a request; gives the one that lost its place, which may be the same. */
   add(request: WaitingRequest): WaitingRequest | undefined {
     const queue = this.#queues.get(request.customerId) ?? [];
--- a/packages/core/src/routing/serverPoolTask.ts
+++ b/packages/core/src/routing/serverPoolTask.ts
@@ -1,6 +1,8 @@
 import type {Backend, FleetDocument} from '@godwitspring/document';
 import type {CoreTask} from '../host/coreTask.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
+import type {PeerMessage} from '../messages/peerMessages.ts';
+import type {FleetSlots} from '../slots/fleetSlots.ts';
 import type {ServerLimits, ServerReleased, ServerWanted} from '../messages/requestMessages.ts';
 import {DocumentIndex} from './documentIndex.ts';
 import {FairQueue} from './fairQueue.ts';
@@ -9,16 +11,22 @@
 
 export interface ServerPoolTaskOptions {
   readonly choice: ServerChoice;
+  /** Slots divided over the fleet. Default: none, each host uses the slots of a server as if alone. */
+  readonly slots: FleetSlots | undefined;
   /** Longest wait for a free slot, in ms. Default: 1,000. */
   readonly maxWaitMs: number;
   readonly queue: Partial<FairQueueOptions>;
 }
 
-export const DEFAULT_SERVER_POOL_OPTIONS = {maxWaitMs: 1_000, queue: {}} as const;
+export const DEFAULT_SERVER_POOL_OPTIONS = {slots: undefined, maxWaitMs: 1_000, queue: {}} as const;
 
 const timerId = 'serverPool.expire';
 const expiryIntervalMs = 25;
 const openRouteCustomer = '';
+/** Slots asked for at once. */
+const maxAsksAtOnce = 16;
+/** Weight below which slots of a server are not asked for, unless half of the servers are doubted. */
+const doubtedWeight = 0.5;
 
 interface PoolServer {
   readonly serverId: string;
@@ -44,6 +52,8 @@
     'requestWithdrawn',
     'serverLimits',
     'documentInForce',
+    'membershipChanged',
+    'peerMessageReceived',
     'timerFired',
   ] as const;
 
@@ -66,13 +76,18 @@
       case 'serverWanted':
         return this.#onWanted(message, nowMs);
       case 'serverReleased':
-        return this.#onReleased(message);
+        return this.#onReleased(message, nowMs);
       case 'requestWithdrawn':
-        return this.#onWithdrawn(message.requestId);
+        return this.#onWithdrawn(message.requestId, nowMs);
       case 'serverLimits':
-        return this.#onLimits(message);
+        return this.#onLimits(message, nowMs);
       case 'documentInForce':
         return this.#onDocument(message.document);
+      case 'membershipChanged':
+        this.#options.slots?.place(message.reachableHostIds);
+        return [];
+      case 'peerMessageReceived':
+        return this.#onPeer(message.fromHostId, message.message, nowMs);
       case 'timerFired':
         return message.timerId === timerId ? this.#onTimer(nowMs) : [];
       default:
@@ -98,7 +113,7 @@
     return [];
   }
 
-  #onLimits({backendId, servers}: ServerLimits): readonly CoreMessage[] {
+  #onLimits({backendId, servers}: ServerLimits, nowMs: number): readonly CoreMessage[] {
     const pool = this.#pools.get(backendId);
     if (pool === undefined) {
       return [];
@@ -107,7 +122,7 @@
     for (const limit of servers) {
       pool.limits.set(limit.serverId, limit);
     }
-    return this.#serveWaiting(pool);
+    return this.#serveWaiting(pool, nowMs);
   }
 
   #onWanted(message: ServerWanted, nowMs: number): readonly CoreMessage[] {
@@ -123,7 +138,7 @@
       excludedServerIds: message.excludedServerIds,
       expiresAtMs: Math.min(deadlineAtMs, nowMs + this.#options.maxWaitMs),
     };
-    const granted = pool.queue.size === 0 ? this.#grant(pool, request) : undefined;
+    const granted = pool.queue.size === 0 ? this.#grant(pool, request, nowMs) : undefined;
     return granted === undefined ? this.#enqueue(pool, request, nowMs) : [granted];
   }
 
@@ -139,12 +154,15 @@
         kind: 'overloaded',
       });
     }
-    messages.push(...this.#serveWaiting(pool), ...this.#armTimer(nowMs));
+    messages.push(...this.#serveWaiting(pool, nowMs), ...this.#wantSlots(pool, nowMs));
+    messages.push(...this.#armTimer(nowMs));
     return messages;
   }
 
   #armTimer(nowMs: number): readonly CoreMessage[] {
-    if (this.#isTimerSet || this.#backendByWaitingRequest.size === 0) {
+    const isIdle =
+      this.#backendByWaitingRequest.size === 0 && this.#options.slots?.isIdle !== false;
+    if (this.#isTimerSet || isIdle) {
       return [];
     }
     this.#isTimerSet = true;
@@ -153,22 +171,25 @@
 
   #onTimer(nowMs: number): readonly CoreMessage[] {
     this.#isTimerSet = false;
-    const messages: CoreMessage[] = [];
-    for (const {queue} of this.#pools.values()) {
-      for (const {requestId} of queue.takeExpired(nowMs)) {
+    const messages: CoreMessage[] = [...(this.#options.slots?.sweep(nowMs) ?? [])];
+    for (const pool of this.#pools.values()) {
+      for (const {requestId} of pool.queue.takeExpired(nowMs)) {
         this.#backendByWaitingRequest.delete(requestId);
         messages.push({type: 'serverRefused', requestId, kind: 'overloaded'});
       }
+      if (pool.queue.size > 0) {
+        messages.push(...this.#serveWaiting(pool, nowMs), ...this.#wantSlots(pool, nowMs));
+      }
     }
     messages.push(...this.#armTimer(nowMs));
     return messages;
   }
 
-  #onReleased({requestId}: ServerReleased): readonly CoreMessage[] {
-    return this.#freeSlot(requestId);
+  #onReleased({requestId}: ServerReleased, nowMs: number): readonly CoreMessage[] {
+    return this.#freeSlot(requestId, nowMs);
   }
 
-  #freeSlot(requestId: number): readonly CoreMessage[] {
+  #freeSlot(requestId: number, nowMs: number): readonly CoreMessage[] {
     const grant = this.#grantByRequest.get(requestId);
     if (grant === undefined) {
       return [];
@@ -181,26 +202,28 @@
     } else {
       this.#runningByServer.set(serverId, running - 1);
     }
+    const freed = this.#options.slots?.free(requestId, nowMs) ?? [];
     const pool = this.#pools.get(backendId);
-    return pool === undefined ? [] : this.#serveWaiting(pool);
+    const served = pool === undefined ? [] : this.#serveWaiting(pool, nowMs);
+    return [...freed, ...served, ...this.#armTimer(nowMs)];
   }
 
-  #onWithdrawn(requestId: number): readonly CoreMessage[] {
+  #onWithdrawn(requestId: number, nowMs: number): readonly CoreMessage[] {
     const backendId = this.#backendByWaitingRequest.get(requestId);
     if (backendId === undefined) {
-      return this.#freeSlot(requestId);
+      return this.#freeSlot(requestId, nowMs);
     }
     this.#backendByWaitingRequest.delete(requestId);
     this.#pools.get(backendId)?.queue.remove(requestId);
     return [];
   }
 
-  #serveWaiting(pool: Pool): readonly CoreMessage[] {
+  #serveWaiting(pool: Pool, nowMs: number): readonly CoreMessage[] {
     const messages: CoreMessage[] = [];
     for (;;) {
       let granted: CoreMessage | undefined;
       const request = pool.queue.take((waiting) => {
-        granted = this.#grant(pool, waiting);
+        granted = this.#grant(pool, waiting, nowMs);
         return granted !== undefined;
       });
       if (request === undefined || granted === undefined) {
@@ -211,11 +234,11 @@
     }
   }
 
-  #grant(pool: Pool, waiting: WaitingRequest): CoreMessage | undefined {
+  #grant(pool: Pool, waiting: WaitingRequest, nowMs: number): CoreMessage | undefined {
     const {requestId, isRepeatable, excludedServerIds} = waiting;
     const candidates = this.#candidates(pool).filter(({isTrial}) => isRepeatable || !isTrial);
     const open = this.#preferUntried(pool, candidates, excludedServerIds);
-    const server = open.find(({isTrial}) => isTrial) ?? this.#options.choice.choose(open);
+    const server = open.find(({isTrial}) => isTrial) ?? this.#choose(pool, requestId, open, nowMs);
     if (server === undefined) {
       return undefined;
     }
@@ -225,6 +248,73 @@
     return {type: 'serverGranted', requestId, serverId, origin};
   }
 
+  /** A ramped server that this host may use, else the server of a slot of the fleet. */
+  #choose(
+    {backend, limits}: Pool,
+    requestId: number,
+    open: readonly ServerCandidate[],
+    nowMs: number,
+  ): ServerCandidate | undefined {
+    const {slots, choice} = this.#options;
+    if (slots === undefined || slots.isSilent(backend.id, nowMs)) {
+      return choice.choose(open);
+    }
+    const ramped = open.find(({serverId}) => limits.get(serverId)?.limit !== undefined);
+    if (ramped !== undefined) {
+      return ramped;
+    }
+    const usable = new Map(open.map((candidate) => [candidate.serverId, candidate]));
+    const serverId = slots.take(requestId, backend.id, (id) => usable.has(id));
+    return serverId === undefined ? undefined : usable.get(serverId);
+  }
+
+  /** Asks for a slot for each request that waits. */
+  #wantSlots(pool: Pool, nowMs: number): readonly CoreMessage[] {
+    const {slots} = this.#options;
+    const waiting = Math.min(pool.queue.size, maxAsksAtOnce);
+    if (slots === undefined || waiting === 0) {
+      return [];
+    }
+    const avoided = this.#avoidedIds(pool, pool.queue.first?.excludedServerIds ?? []);
+    const doubted = [...pool.limits.values()].filter(({weight}) => weight < doubtedWeight);
+    if (doubted.length * 2 < pool.servers.length) {
+      for (const {serverId} of doubted) {
+        avoided.add(serverId);
+      }
+    }
+    return slots.want(pool.backend.id, waiting, [...avoided], nowMs);
+  }
+
+  /** Servers that the next request in turn would not take a slot of. */
+  #avoidedIds(pool: Pool, excludedServerIds: readonly string[]): Set<string> {
+    if (excludedServerIds.length === 0) {
+      return new Set();
+    }
+    const all = pool.servers.filter(({isInService}) => isInService);
+    const open = this.#preferUntried(pool, this.#candidates(pool), excludedServerIds);
+    const openIds = new Set(open.map(({serverId}) => serverId));
+    return new Set(all.map(({serverId}) => serverId).filter((id) => !openIds.has(id)));
+  }
+
+  #onPeer(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
+    const {slots} = this.#options;
+    if (slots === undefined) {
+      return [];
+    }
+    switch (message.type) {
+      case 'slotAnswer': {
+        const hasSlot = slots.onAnswer(fromHostId, message, nowMs);
+        const pool = this.#pools.get(message.backendId);
+        const served = hasSlot && pool !== undefined ? this.#serveWaiting(pool, nowMs) : [];
+        return [...served, ...this.#armTimer(nowMs)];
+      }
+      case 'slotRecall':
+        return slots.onRecall(message.slotIds);
+      default:
+        return [];
+    }
+  }
+
   /** Leaves out tried servers and, while others are left, the data centres that they stand in. */
   #preferUntried(
     {servers}: Pool,
