Batch renewals of loans, report less when there is no work, smaller modules

Renewals of several buckets at one home went out one by one, and reports of use travelled alone every 25 ms. Change: twelve buckets of customers; a home renews all its buckets in one ask; reports wait up to 100 ms for an ask unless their tokens are short-lived; quiet hosts report health once a second. Request steps, request heads, problems and the platform in memory are modules of their own.

--- a/packages/bench/src/matrix/faultTable.ts
+++ b/packages/bench/src/matrix/faultTable.ts
@@ -98,8 +98,8 @@
   {name: 'clock drift', start: nothing, stop: nothing},
   {
     name: 'platform down',
-    start: ({fleet}) => (fleet.isPlatformDown = true),
-    stop: ({fleet}) => (fleet.isPlatformDown = false),
+    start: ({fleet}) => (fleet.platform.isDown = true),
+    stop: ({fleet}) => (fleet.platform.isDown = false),
   },
   {
     name: 'platform stale',
--- a/packages/core/src/allowance/allowanceOptions.ts
+++ b/packages/core/src/allowance/allowanceOptions.ts
@@ -11,7 +11,7 @@
   readonly bounds: LeaseBounds;
   /** First number of asks and grants; differs between processes at the same host. Default: 1. */
   readonly firstNonce: number;
-  /** Groups into which customers are hashed; each group has one home. Default: 6. */
+  /** Groups into which customers are hashed; each group has one home. Default: 12. */
   readonly bucketCount: number;
   /** Interval between renewals of loans, in ms. Default: 800. */
   readonly renewIntervalMs: number;
@@ -25,7 +25,7 @@
   allowanceClass: 'rates',
   firstNonce: 1,
   bounds: DEFAULT_LEASE_BOUNDS,
-  bucketCount: 6,
+  bucketCount: 12,
   renewIntervalMs: 800,
   maxGrantLifeMs: 250,
   minGrantLifeMs: 30,
--- a/packages/core/src/allowance/entryTask.ts
+++ b/packages/core/src/allowance/entryTask.ts
@@ -12,6 +12,8 @@
 const askTimeoutMs = 150;
 /** Longest wait for a home that does not answer or cannot judge yet, in ms. */
 const patienceMs = 1_500;
+/** Interval at which reports are sent that no ask took along, in ms. */
+const reportIntervalMs = 100;
 /** Life of tokens below which their use is reported at once, in ms. */
 const promptReportLifeMs = 100;
 /** Longest wait of a request for the next token of its customer, in ms. */
@@ -45,6 +47,7 @@
   #freshUntilMs = Number.NEGATIVE_INFINITY;
   #nextAskId: number;
   #isTicking = false;
+  #reportsSentAtMs = 0;
 
   constructor(options: Partial<AllowanceOptions> & RequiredAllowanceOptions) {
     this.#options = allowanceOptions(options);
@@ -291,7 +294,7 @@
         this.#demands.delete(customerId);
       }
     }
-    messages.push(...this.#sendReports(), ...this.#armTimer(nowMs));
+    messages.push(...this.#sendReports(nowMs), ...this.#armTimer(nowMs));
     return messages;
   }
 
@@ -320,8 +323,13 @@
     return messages;
   }
 
-  #sendReports(): readonly CoreMessage[] {
+  /** Sends the reports that no ask took along for a while. */
+  #sendReports(nowMs: number): readonly CoreMessage[] {
     const messages: CoreMessage[] = [];
+    if (nowMs - this.#reportsSentAtMs < reportIntervalMs) {
+      return messages;
+    }
+    this.#reportsSentAtMs = nowMs;
     for (const homeId of this.#reports.keys()) {
       messages.push(this.#sendAsk(homeId, 0, []));
     }
--- a/packages/core/src/allowance/homeTask.ts
+++ b/packages/core/src/allowance/homeTask.ts
@@ -294,7 +294,8 @@
 
   #onTick(nowMs: number): readonly CoreMessage[] {
     const messages: CoreMessage[] = [{type: 'timerWanted', timerId, atMs: nowMs + tickMs}];
-    const due: number[] = [];
+    const mine: number[] = [];
+    let isDue = false;
     for (const [bucket, state] of this.#buckets) {
       state.stock.advance(nowMs);
       if (state.drainingSinceMs !== undefined) {
@@ -302,12 +303,11 @@
         continue;
       }
       const intervalMs = this.#isSettled(state) ? this.#options.renewIntervalMs : 2 * tickMs;
-      if (nowMs - state.askedAtMs >= intervalMs) {
-        due.push(bucket);
-      }
+      mine.push(bucket);
+      isDue ||= nowMs - state.askedAtMs >= intervalMs;
     }
-    if (due.length > 0) {
-      messages.push(...this.#askLoans(due, nowMs));
+    if (isDue) {
+      messages.push(...this.#askLoans(mine, nowMs));
     }
     this.#applyHandovers(nowMs);
     return messages;
--- a/packages/core/src/health/healthEntryTask.ts
+++ b/packages/core/src/health/healthEntryTask.ts
@@ -11,6 +11,8 @@
 import {SourceFilter} from './sourceFilter.ts';
 
 const timerId = 'health.report';
+/** Interval between reports of a host without work, in ms; well under the life of a verdict. */
+const quietIntervalMs = 1_000;
 /** Least weight of a server that this host doubts. */
 const minWeight = 0.05;
 const leanSmoothing = 0.2;
@@ -62,6 +64,7 @@
   readonly #lastTold = new Map<string, string>();
   #nextAskId: number;
   #isTicking = false;
+  #reportedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: Partial<HealthOptions> & RequiredHealthOptions) {
     this.#options = healthOptions(options);
@@ -165,6 +168,11 @@
   }
 
   #report(nowMs: number): readonly CoreMessage[] {
+    const isQuiet = this.#tallies.size === 0;
+    if (isQuiet && nowMs - this.#reportedAtMs < quietIntervalMs) {
+      return [];
+    }
+    this.#reportedAtMs = nowMs;
     const byHome = new Map<string, HealthReport['backends']>();
     for (const {backend} of this.#watch.backends.values()) {
       const homeId = this.#placement.homeOf(this.#placement.bucketOf(backendKey(backend.id)));
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -4,19 +4,16 @@
 import type {CoreTask} from '../host/coreTask.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
 import type {KeptAnswer} from '../messages/peerMessages.ts';
-import type {
-  AttemptFailure,
-  RequestArrived,
-  ServerReleased,
-  StartAttempt,
-  WorkOutcome,
-} from '../messages/requestMessages.ts';
+import type {AttemptFailure, RequestArrived, WorkOutcome} from '../messages/requestMessages.ts';
 import {DocumentIndex} from '../routing/documentIndex.ts';
 import {RequestNames} from '../repeats/requestNames.ts';
 import {admitRequest, requestName} from './admitRequest.ts';
+import {endRequest} from './endRequest.ts';
+import {releaseServer} from './releaseServer.ts';
 import {DEFAULT_RETRY_BUDGETS_OPTIONS, RetryBudgets} from './retryBudgets.ts';
 import type {RetryBudgetsOptions, RetryCause} from './retryBudgets.ts';
 import type {RequestState} from './requestState.ts';
+import {startAttempt} from './startAttempt.ts';
 
 export interface RequestTaskOptions {
   /** Attempts at one request in all. Default: 3. */
@@ -242,7 +239,7 @@
       return this.#refuse(request, 'host-not-current');
     }
     if (request.isPermitted || request.customerId === undefined) {
-      return [this.#startAttempt(request, nowMs)];
+      return [startAttempt(request, nowMs)];
     }
     request.phase = 'permit';
     const {requestId, customerId, deadlineAtMs} = request;
@@ -264,7 +261,7 @@
       return this.#refuse(request, 'key-unknown');
     }
     request.isPermitted = true;
-    return [this.#startAttempt(request, nowMs)];
+    return [startAttempt(request, nowMs)];
   }
 
   #onPermitRefused(
@@ -276,24 +273,6 @@
     return isWaiting && !request.isPermitted ? this.#refuse(request, kind, {retryAfterMs}) : [];
   }
 
-  #startAttempt(request: RequestState, nowMs: number): StartAttempt {
-    request.phase = 'attempt';
-    request.attempt += 1;
-    request.attemptStartedAtMs = nowMs;
-    request.headLatencyMs = undefined;
-    return {
-      type: 'startAttempt',
-      requestId: request.requestId,
-      attempt: request.attempt,
-      serverId: request.serverId ?? '',
-      origin: request.origin ?? '',
-      timeoutMs: request.deadlineAtMs - nowMs,
-      customerId: request.customerId,
-      notRunHeader: request.backend.notRunHeader,
-      maxBodyBytes: request.route.maxBodyBytes,
-    };
-  }
-
   #onAnswered(
     request: RequestState,
     message: {attempt: number; status: number; saidNotRun: boolean},
@@ -374,7 +353,7 @@
 
   #retry(request: RequestState, outcome: WorkOutcome, reason: string): readonly CoreMessage[] {
     const {requestId, attempt} = request;
-    const released = this.#release(request, outcome);
+    const released = releaseServer(request, outcome);
     return [
       {type: 'discardAnswer', requestId, attempt},
       ...released,
@@ -383,40 +362,6 @@
     ];
   }
 
-  #release(request: RequestState, outcome: WorkOutcome): readonly CoreMessage[] {
-    const {requestId, serverId, backend, route} = request;
-    if (serverId === undefined) {
-      return [{type: 'requestWithdrawn', requestId}];
-    }
-    request.serverId = undefined;
-    request.excludedServerIds.push(serverId);
-    const released: ServerReleased = {
-      type: 'serverReleased',
-      requestId,
-      serverId,
-      backendId: backend.id,
-      routeId: route.id,
-      customerId: request.customerId,
-      outcome,
-      latencyMs: request.headLatencyMs ?? 0,
-    };
-    const withdrawn: CoreMessage = {type: 'requestWithdrawn', requestId};
-    if (outcome !== 'lost') {
-      return [released, withdrawn];
-    }
-    request.losses.push(released);
-    return [withdrawn, ...this.#noteCrash(request, serverId)];
-  }
-
-  /** A connection that broke while the request ran may mean that it crashed the server. */
-  #noteCrash(
-    {customerId = '', route, requestDigest, ranForMs}: RequestState,
-    serverId: string,
-  ): readonly CoreMessage[] {
-    const name = {customerId, routeId: route.id, requestDigest};
-    return requestDigest === '' ? [] : [{type: 'crashNoted', ...name, serverId, ranForMs}];
-  }
-
   /** Tells that a request that may have crashed a server was answered well. */
   #clear(
     {customerId = '', route, requestDigest}: RequestState,
@@ -500,23 +445,9 @@
     }
   }
 
-  /** Ends a request; one that ran without an answer handed on leaves its claim in doubt. */
   #end(request: RequestState, outcome: WorkOutcome): readonly CoreMessage[] {
-    const {requestId} = request;
-    this.#requests.delete(requestId);
-    const hasNotRun = request.attempt === 0 || outcome === 'shed' || outcome === 'unreachable';
-    const state = hasNotRun && !request.hasBeenInDoubt ? 'not-run' : 'unknown';
-    return [
-      ...this.#release(request, outcome),
-      ...this.#countLosses(request),
-      {type: 'claimSettled', requestId, state},
-    ];
-  }
-
-  /** A request that broke the connections of two servers is to blame itself, not its servers. */
-  #countLosses(request: RequestState): readonly CoreMessage[] {
-    const serverIds = new Set(request.losses.map(({serverId}) => serverId));
-    return serverIds.size > 1 ? [] : request.losses;
+    this.#requests.delete(request.requestId);
+    return endRequest(request, outcome);
   }
 
   #refuse(
--- a/packages/core/src/slots/fleetSlots.ts
+++ b/packages/core/src/slots/fleetSlots.ts
@@ -9,7 +9,7 @@
   readonly hash: HashFunction;
   readonly bucketCount: number;
   readonly firstNonce: number;
-  /** Time for which an unused slot is kept for the next request, in ms. Default: 200. */
+  /** Time for which an unused slot is kept for the next request, in ms. Default: 25. */
   readonly parkMs: number;
   /** Time for which a slot is used again and again, so that work spreads over the servers, in ms. Default: 500. */
   readonly tenureMs: number;
@@ -24,7 +24,7 @@
 export const DEFAULT_FLEET_SLOTS_OPTIONS = {
   bucketCount: 6,
   firstNonce: 1,
-  parkMs: 200,
+  parkMs: 25,
   tenureMs: 500,
   silenceMs: 50,
   askLifeMs: 350,
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -1,4 +1,3 @@
-import {createHash} from 'node:crypto';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {pipeline} from 'node:stream/promises';
@@ -22,8 +21,10 @@
 import type {Exchange, PendingAnswer} from './exchange.ts';
 import {customerHeader, deadlineHeader, endToEndHeaders, requestIdHeader} from './headers.ts';
 import {problemBody, problemContentType} from './problemBody.ts';
+import {announcedBytes, budgetMs, keyDigest, requestDigest, singleHeader} from './requestHead.ts';
 import {readRequestTarget} from './requestTarget.ts';
 import {readSmallBody} from './readSmallBody.ts';
+import {writeProblem} from './writeProblem.ts';
 
 /** Effects of the core that concern callers, and answers of backend servers. */
 export type CallerCommand =
@@ -134,7 +135,7 @@
     }
     const {host, path, pathAndQuery} = target.value;
     const arrivedAtMs = this.#options.timers.nowMs();
-    const bodyBytes = this.#announcedBytes(incoming);
+    const bodyBytes = announcedBytes(incoming);
     const isSmall = bodyBytes !== undefined && bodyBytes <= maxReplayableBytes;
     const bufferedBody = isSmall ? await this.#readBody(incoming, outgoing, publicId) : undefined;
     if (isSmall && bufferedBody === undefined) {
@@ -160,12 +161,12 @@
       host,
       path,
       method: incoming.method ?? 'GET',
-      keyDigest: this.#keyDigest(incoming),
-      idempotencyKey: this.#singleHeader(incoming, 'idempotency-key'),
+      keyDigest: keyDigest(incoming, this.#options.keyHeader),
+      idempotencyKey: singleHeader(incoming, 'idempotency-key'),
       bodyBytes,
       isReplayable: isSmall,
-      budgetMs: this.#budgetMs(incoming),
-      requestDigest: this.#requestDigest(incoming, bufferedBody),
+      budgetMs: budgetMs(incoming),
+      requestDigest: requestDigest(incoming, bufferedBody),
     });
   }
 
@@ -184,36 +185,6 @@
     }
   }
 
-  /** Size of the body that follows, in bytes; undefined where it comes in chunks. */
-  #announcedBytes({headers}: IncomingMessage): number | undefined {
-    if (headers['transfer-encoding'] !== undefined) {
-      return undefined;
-    }
-    return Number(headers['content-length'] ?? 0);
-  }
-
-  #singleHeader({headers}: IncomingMessage, name: string): string | undefined {
-    const value = headers[name];
-    return typeof value === 'string' && value !== '' ? value : undefined;
-  }
-
-  #keyDigest(incoming: IncomingMessage): string | undefined {
-    const key = this.#singleHeader(incoming, this.#options.keyHeader);
-    return key === undefined ? undefined : createHash('sha256').update(key).digest('hex');
-  }
-
-  #budgetMs(incoming: IncomingMessage): number | undefined {
-    const budgetMs = Number(this.#singleHeader(incoming, deadlineHeader) ?? Number.NaN);
-    return Number.isFinite(budgetMs) && budgetMs >= 0 ? budgetMs : undefined;
-  }
-
-  /** Names repeats of the same request; a streamed body counts by its announced size. */
-  #requestDigest(incoming: IncomingMessage, body: Buffer | undefined): string {
-    const hash = createHash('sha256').update(`${incoming.method ?? ''} ${incoming.url ?? ''}\n`);
-    hash.update(body ?? String(this.#announcedBytes(incoming)));
-    return hash.digest('hex').slice(0, 32);
-  }
-
   #take(command: CallerCommand): void {
     const exchange = this.#exchanges.get(command.requestId);
     if (exchange === undefined) {
@@ -349,7 +320,7 @@
       outgoing.destroy();
       return;
     }
-    this.#writeProblem(incoming, outgoing, kind, {
+    writeProblem(incoming, outgoing, kind, {
       outcome,
       retryAfterMs,
       requestId: publicId,
@@ -365,7 +336,7 @@
   ): void {
     this.#options.count('request.refused', {kind});
     if (!outgoing.destroyed) {
-      this.#writeProblem(incoming, outgoing, kind, {
+      writeProblem(incoming, outgoing, kind, {
         outcome: 'not-run',
         requestId,
         detail,
@@ -373,32 +344,6 @@
     }
   }
 
-  #writeProblem(
-    incoming: IncomingMessage,
-    outgoing: ServerResponse,
-    kind: ErrorKind,
-    options: Parameters<typeof problemBody>[1] & object,
-  ): void {
-    const problem = problemBody(kind, options);
-    const headers: Record<string, string> = {
-      'content-type': problemContentType,
-      [requestIdHeader]: options.requestId ?? '',
-    };
-    if (options.retryAfterMs !== undefined) {
-      headers['retry-after'] = String(Math.ceil(options.retryAfterMs / 1_000));
-    }
-    const isBodyUnread = !incoming.complete;
-    if (isBodyUnread) {
-      headers.connection = 'close';
-    }
-    outgoing.writeHead(problem.status, headers);
-    outgoing.end(JSON.stringify(problem), () => {
-      if (isBodyUnread) {
-        incoming.destroy();
-      }
-    });
-  }
-
   /** A connection that closes after the whole answer went out is no caller that left. */
   #onClosed(requestId: number): void {
     const exchange = this.#exchanges.get(requestId);
