One place for asking loans and for listening

Cause: the homes of rates and of health marked and sent their asks by twin code; three servers listened by twin code. Change: LoanHolder knows when it last asked for a bucket; listenOn starts a server.

--- a/packages/console/src/consoleTask.ts
+++ b/packages/console/src/consoleTask.ts
@@ -2,6 +2,7 @@
 import type {Server} from 'node:http';
 import {createAdaptorServer} from '@hono/node-server';
 import {checkDocument} from '@godwitspring/document';
+import {listenOn} from '@godwitspring/proxy';
 import type {Platform} from '@godwitspring/proxy';
 import {Hono} from 'hono';
 import type {Context} from 'hono';
@@ -48,10 +49,7 @@
       overrideGlobalObjects: false,
     }) as Server;
     this.#server = server;
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(listenPort, listenHost, resolve);
-    });
+    await listenOn(server, {listenHost, listenPort});
   }
 
   stop(): void {
--- a/packages/core/src/allowance/homeTask.ts
+++ b/packages/core/src/allowance/homeTask.ts
@@ -32,7 +32,6 @@
   drainingSinceMs: number | undefined;
   /** Since when nothing that was handed out can be used any more. */
   drainedSinceMs: number | undefined;
-  askedAtMs: number;
 }
 
 /**
@@ -171,21 +170,11 @@
       stock,
       drainingSinceMs: undefined,
       drainedSinceMs: undefined,
-      askedAtMs: nowMs,
     });
   }
 
   #askLoans(buckets: readonly number[], nowMs: number): readonly CoreMessage[] {
-    if (this.#ownShare === 0) {
-      return [];
-    }
-    for (const bucket of buckets) {
-      const state = this.#buckets.get(bucket);
-      if (state !== undefined) {
-        state.askedAtMs = nowMs;
-      }
-    }
-    return this.#holder.ask(this.#list, buckets, nowMs);
+    return this.#ownShare === 0 ? [] : this.#holder.ask(this.#list, buckets, nowMs);
   }
 
   #onPeer(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
@@ -304,7 +293,7 @@
       }
       const intervalMs = this.#isSettled(state) ? this.#options.renewIntervalMs : 2 * tickMs;
       mine.push(bucket);
-      isDue ||= nowMs - state.askedAtMs >= intervalMs;
+      isDue ||= nowMs - this.#holder.lastAskMs(bucket) >= intervalMs;
     }
     if (isDue) {
       messages.push(...this.#askLoans(mine, nowMs));
--- a/packages/core/src/allowance/loanHolder.ts
+++ b/packages/core/src/allowance/loanHolder.ts
@@ -41,6 +41,7 @@
 export class LoanHolder {
   readonly #options: LoanHolderOptions;
   readonly #asks = new Map<number, LoanAskRecord>();
+  readonly #lastAskMs = new Map<number, number>();
   readonly #heardNonceByLender = new Map<string, number>();
   #nextNonce: number;
 
@@ -49,9 +50,20 @@
     this.#nextNonce = options.firstNonce;
   }
 
+  /** When the loans of a bucket were last asked for, in ms. */
+  lastAskMs(bucket: number): number {
+    return this.#lastAskMs.get(bucket) ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** Asks every host of the list for its shares in the buckets. */
   ask(list: HostList | undefined, buckets: readonly number[], nowMs: number): CoreMessage[] {
     const messages: CoreMessage[] = [];
+    if (buckets.length === 0) {
+      return messages;
+    }
+    for (const bucket of buckets) {
+      this.#lastAskMs.set(bucket, nowMs);
+    }
     const {allowanceClass} = this.#options;
     for (const {id} of list?.hosts ?? []) {
       const nonce = this.#nextNonce;
--- a/packages/core/src/health/healthHomeTask.ts
+++ b/packages/core/src/health/healthHomeTask.ts
@@ -23,7 +23,6 @@
 interface Bucket {
   readonly loans: LoanBook;
   readonly doctors: Map<string, BackendDoctor>;
-  askedAtMs: number;
 }
 
 /**
@@ -132,7 +131,6 @@
         this.#buckets.set(bucket, {
           loans: new LoanBook(nowMs),
           doctors: new Map(),
-          askedAtMs: nowMs,
         });
       }
       this.#reviseDoctors(bucket, nowMs);
@@ -162,16 +160,7 @@
   }
 
   #askLoans(buckets: readonly number[], nowMs: number): readonly CoreMessage[] {
-    if (buckets.length === 0 || this.#ownShare === 0) {
-      return [];
-    }
-    for (const bucket of buckets) {
-      const state = this.#buckets.get(bucket);
-      if (state !== undefined) {
-        state.askedAtMs = nowMs;
-      }
-    }
-    return this.#holder.ask(this.#list, buckets, nowMs);
+    return this.#ownShare === 0 ? [] : this.#holder.ask(this.#list, buckets, nowMs);
   }
 
   #onPeer(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
@@ -238,9 +227,9 @@
   #onTick(nowMs: number): readonly CoreMessage[] {
     const messages: CoreMessage[] = [{type: 'timerWanted', timerId, atMs: nowMs + tickMs}];
     const due: number[] = [];
-    for (const [bucket, {loans, doctors, askedAtMs}] of this.#buckets) {
+    for (const [bucket, {loans, doctors}] of this.#buckets) {
       loans.advance(nowMs);
-      if (doctors.size > 0 && nowMs - askedAtMs >= renewIntervalMs) {
+      if (doctors.size > 0 && nowMs - this.#holder.lastAskMs(bucket) >= renewIntervalMs) {
         due.push(bucket);
       }
       for (const doctor of doctors.values()) {
--- a/packages/proxy/src/admin/adminTask.ts
+++ b/packages/proxy/src/admin/adminTask.ts
@@ -1,6 +1,7 @@
 import type {Server} from 'node:http';
 import {createAdaptorServer} from '@hono/node-server';
 import {Hono} from 'hono';
+import {listenOn} from '../task/listenOn.ts';
 
 export interface AdminTaskOptions {
   readonly listenHost: string;
@@ -34,10 +35,7 @@
       overrideGlobalObjects: false,
     }) as Server;
     this.#server = server;
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(listenPort, listenHost, resolve);
-    });
+    await listenOn(server, {listenHost, listenPort});
   }
 
   stop(): void {
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -25,6 +25,7 @@
 import {readRequestTarget} from './requestTarget.ts';
 import {readSmallBody} from './readSmallBody.ts';
 import {writeProblem} from './writeProblem.ts';
+import {listenOn} from '../task/listenOn.ts';
 
 /** Effects of the core that concern callers, and answers of backend servers. */
 export type CallerCommand =
@@ -97,10 +98,7 @@
     server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
       this.#onClientError(error, socket);
     });
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(listenPort, listenHost, resolve);
-    });
+    await listenOn(server, {listenHost, listenPort});
   }
 
   get inProgress(): number {
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -5,6 +5,7 @@
 export {loadXxHash} from './host/xxHash.ts';
 export {splitAddress} from './host/splitAddress.ts';
 export {customerHeader, deadlineHeader, requestIdHeader} from './callers/headers.ts';
+export {listenOn} from './task/listenOn.ts';
 export {Mailbox} from './task/mailbox.ts';
 export type {TimerService, TimerSubscription} from './timer/timerService.ts';
 export {SystemTimerService} from './timer/systemTimerService.ts';
