Drop what nothing calls in the loan book

Cause: clear() was left from an earlier way of giving buckets up. Change: removed. Ruled out by search: no caller. Figures: tests of rates, properties and permits pass before and after. Conclusion: none further.

--- a/packages/core/src/allowance/loanBook.ts
+++ b/packages/core/src/allowance/loanBook.ts
@@ -83,12 +83,6 @@
     this.#recount();
   }
 
-  /** Gives up all loans at once. */
-  clear(): void {
-    this.#loans.clear();
-    this.#recount();
-  }
-
   #recount(): void {
     let share = 0;
     let nextEndMs = Number.POSITIVE_INFINITY;
