--- a/packages/core/src/membership/membershipTask.ts
+++ b/packages/core/src/membership/membershipTask.ts
@@ -33,6 +33,8 @@
 
 const timerId = 'membership.heartbeat';
 const maxPendingAsks = 256;
+/** Time after which nothing of a process that said it leaves is under way any more, in ms. */
+const leavingMs = 1_500;
 
 /**
  * Knows which hosts there are, which of them act, and how long this host may act.
@@ -56,7 +58,9 @@
   readonly #history: ListHistory;
   readonly #platformClock: PlatformClock;
   readonly #pendingAsks = new Map<number, number>();
-  readonly #left = new Set<string>();
+  /** Hosts that said they are leaving, with the moment, in ms. */
+  readonly #leftAtMs = new Map<string, number>();
+  #isLeaving = false;
   #evidence: EvidenceTable | undefined;
   #newcomers: EvidenceTable | undefined;
   #aliveAtMs = new Map<string, number>();
@@ -94,6 +98,7 @@
       case 'timerFired':
         return message.timerId === timerId ? this.#onTimer(nowMs) : [];
       case 'shutdownWanted':
+        this.#isLeaving = true;
         return this.#tellLeaving();
       case 'statusWanted':
         return [this.#status(message.askId, nowMs)];
@@ -162,7 +167,7 @@
       case 'listAnswer':
         return this.#onLists(message.lists, message.isFresh, nowMs);
       case 'leaving':
-        this.#left.add(fromHostId);
+        this.#leftAtMs.set(fromHostId, nowMs);
         this.#aliveAtMs.delete(fromHostId);
         this.#evidence?.forget(fromHostId);
         return this.#update(nowMs);
@@ -197,8 +202,9 @@
     if (askedAtMs === undefined) {
       return [];
     }
-    this.#left.delete(fromHostId);
-    this.#noteAlive(fromHostId, askedAtMs);
+    if (answer.oldestListVersion !== undefined) {
+      this.#noteAlive(fromHostId, askedAtMs);
+    }
     if (answer.platformNowMs !== undefined) {
       this.#platformClock.note(answer.platformNowMs, nowMs);
     }
@@ -239,13 +245,18 @@
     probe.merge(ages, askedAtMs);
     for (const {id} of probe.list.hosts) {
       const seenAtMs = probe.seenAtMs(id, askedAtMs);
-      if (Number.isFinite(seenAtMs) && !this.#left.has(id)) {
+      if (Number.isFinite(seenAtMs)) {
         this.#noteAlive(id, seenAtMs);
       }
     }
   }
 
+  /** Notes a sign of life; of a host that left, only one of a process that began later. */
   #noteAlive(hostId: string, seenAtMs: number): void {
+    if (seenAtMs < (this.#leftAtMs.get(hostId) ?? Number.NEGATIVE_INFINITY) + leavingMs) {
+      return;
+    }
+    this.#leftAtMs.delete(hostId);
     const known = this.#aliveAtMs.get(hostId) ?? Number.NEGATIVE_INFINITY;
     this.#aliveAtMs.set(hostId, Math.max(known, seenAtMs));
   }
@@ -286,7 +297,8 @@
 
   #onTimer(nowMs: number): readonly CoreMessage[] {
     const atMs = nowMs + this.#options.heartbeatIntervalMs;
-    return [{type: 'timerWanted', timerId, atMs}, ...this.#askPeers(nowMs), ...this.#update(nowMs)];
+    const asks = this.#isLeaving ? [] : this.#askPeers(nowMs);
+    return [{type: 'timerWanted', timerId, atMs}, ...asks, ...this.#update(nowMs)];
   }
 
   #askPeers(nowMs: number): readonly CoreMessage[] {
@@ -376,7 +388,7 @@
     for (const {id, state} of newest.hosts) {
       const aliveAtMs =
         id === selfId ? nowMs : (this.#aliveAtMs.get(id) ?? Number.NEGATIVE_INFINITY);
-      if (state === 'live' && !this.#left.has(id) && nowMs - aliveAtMs <= reachableMs) {
+      if (state === 'live' && !this.#leftAtMs.has(id) && nowMs - aliveAtMs <= reachableMs) {
         reachable.push(id);
       }
     }
