Signs of life in a table of their own; read the ages of a heartbeat in one way

Cause: each answer to a heartbeat built a second evidence table only to read the same ages again, and the membership task kept two maps for who is alive beside its own matters. Change: EvidenceTable.moments reads ages once for evidence and for liveness; LivenessTable holds signs of life and leavings. Behaviour as before. Conclusion: no allocation of a table for each heartbeat answer.

--- a/packages/core/src/membership/evidenceTable.ts
+++ b/packages/core/src/membership/evidenceTable.ts
@@ -43,10 +43,22 @@
 
   /** Takes over what a peer that acts on the same list knew when it was asked. */
   merge(ages: Uint8Array, askedAtMs: number): void {
-    for (const [index, {id}] of this.list.hosts.entries()) {
+    for (const {hostId, seenAtMs} of this.moments(ages, askedAtMs)) {
+      if (hostId !== this.#selfId) {
+        this.note(hostId, seenAtMs);
+      }
+    }
+  }
+
+  /** What a peer that acts on the same list told of each host it heard of, on the own clock. */
+  *moments(
+    ages: Uint8Array,
+    askedAtMs: number,
+  ): Generator<{readonly hostId: string; readonly seenAtMs: number}> {
+    for (const [index, {id: hostId}] of this.list.hosts.entries()) {
       const age = ages[index] ?? noEvidence;
-      if (age < noEvidence && id !== this.#selfId) {
-        this.note(id, askedAtMs - age * ageUnitMs);
+      if (age < noEvidence) {
+        yield {hostId, seenAtMs: askedAtMs - age * ageUnitMs};
       }
     }
   }
--- a/packages/core/src/membership/membershipTask.ts
+++ b/packages/core/src/membership/membershipTask.ts
@@ -5,6 +5,7 @@
 import type {RandomSource} from '../time/randomSource.ts';
 import {EvidenceTable} from './evidenceTable.ts';
 import {ListHistory} from './listHistory.ts';
+import {LivenessTable} from './livenessTable.ts';
 import {DEFAULT_LEASE_BOUNDS, retirementMs} from './membershipOptions.ts';
 import type {LeaseBounds} from './membershipOptions.ts';
 import {PlatformClock} from './platformClock.ts';
@@ -33,8 +34,6 @@
 
 const timerId = 'membership.heartbeat';
 const maxPendingAsks = 256;
-/** Time after which nothing of a process that said it leaves is under way any more, in ms. */
-const leavingMs = 1_500;
 
 /**
  * Knows which hosts there are, which of them act, and how long this host may act.
@@ -58,12 +57,10 @@
   readonly #history: ListHistory;
   readonly #platformClock: PlatformClock;
   readonly #pendingAsks = new Map<number, number>();
-  /** Hosts that said they are leaving, with the moment, in ms. */
-  readonly #leftAtMs = new Map<string, number>();
+  readonly #liveness = new LivenessTable();
   #isLeaving = false;
   #evidence: EvidenceTable | undefined;
   #newcomers: EvidenceTable | undefined;
-  #aliveAtMs = new Map<string, number>();
   #listConfirmedAtMs = Number.NEGATIVE_INFINITY;
   #manifestConfirmedAtMs = Number.NEGATIVE_INFINITY;
   #peerPlatformAtMs = Number.NEGATIVE_INFINITY;
@@ -167,8 +164,7 @@
       case 'listAnswer':
         return this.#onLists(message.lists, message.isFresh, nowMs);
       case 'leaving':
-        this.#leftAtMs.set(fromHostId, nowMs);
-        this.#aliveAtMs.delete(fromHostId);
+        this.#liveness.leave(fromHostId, nowMs);
         this.#evidence?.forget(fromHostId);
         return this.#update(nowMs);
       default:
@@ -203,7 +199,7 @@
       return [];
     }
     if (answer.oldestListVersion !== undefined) {
-      this.#noteAlive(fromHostId, askedAtMs);
+      this.#liveness.note(fromHostId, askedAtMs);
     }
     if (answer.platformNowMs !== undefined) {
       this.#platformClock.note(answer.platformNowMs, nowMs);
@@ -233,34 +229,15 @@
     if (answer.oldestListVersion !== undefined) {
       this.#evidence?.note(fromHostId, askedAtMs);
       this.#evidence?.merge(answer.ages, askedAtMs);
-      this.#mergeAlive(answer.ages, askedAtMs);
+      for (const {hostId, seenAtMs} of this.#evidence?.moments(answer.ages, askedAtMs) ?? []) {
+        this.#liveness.note(hostId, seenAtMs);
+      }
       return;
     }
     this.#newcomers?.note(fromHostId, askedAtMs);
     this.#newcomers?.merge(answer.ages, askedAtMs);
   }
 
-  #mergeAlive(ages: Uint8Array, askedAtMs: number): void {
-    const probe = new EvidenceTable(this.#evidence?.list ?? {version: 0, asOfMs: 0, hosts: []}, '');
-    probe.merge(ages, askedAtMs);
-    for (const {id} of probe.list.hosts) {
-      const seenAtMs = probe.seenAtMs(id, askedAtMs);
-      if (Number.isFinite(seenAtMs)) {
-        this.#noteAlive(id, seenAtMs);
-      }
-    }
-  }
-
-  /** Notes a sign of life; of a host that left, only one of a process that began later. */
-  #noteAlive(hostId: string, seenAtMs: number): void {
-    if (seenAtMs < (this.#leftAtMs.get(hostId) ?? Number.NEGATIVE_INFINITY) + leavingMs) {
-      return;
-    }
-    this.#leftAtMs.delete(hostId);
-    const known = this.#aliveAtMs.get(hostId) ?? Number.NEGATIVE_INFINITY;
-    this.#aliveAtMs.set(hostId, Math.max(known, seenAtMs));
-  }
-
   #askForNewerList(hostId: string, version: number): readonly CoreMessage[] {
     const known = this.#history.newest?.version ?? 0;
     return version > known ? [this.#send(hostId, {type: 'listAsk'})] : [];
@@ -384,15 +361,7 @@
 
   #reachable(newest: HostList, nowMs: number): string[] {
     const {selfId, reachableMs} = this.#options;
-    const reachable: string[] = [];
-    for (const {id, state} of newest.hosts) {
-      const aliveAtMs =
-        id === selfId ? nowMs : (this.#aliveAtMs.get(id) ?? Number.NEGATIVE_INFINITY);
-      if (state === 'live' && !this.#leftAtMs.has(id) && nowMs - aliveAtMs <= reachableMs) {
-        reachable.push(id);
-      }
-    }
-    return reachable;
+    return this.#liveness.reachable(newest, selfId, reachableMs, nowMs);
   }
 
   #tellLeaving(): readonly CoreMessage[] {
