--- a/packages/core/src/messages/coreMessage.ts
+++ b/packages/core/src/messages/coreMessage.ts
@@ -19,6 +19,10 @@
   host.shutdownWantedSchema,
   host.probeAnsweredSchema,
   host.statusWantedSchema,
+  host.registryReadSchema,
+  host.registryUnreadableSchema,
+  host.leavingSoonSchema,
+  request.serverConnectionsSchema,
 ]);
 
 /** What the core asks of its surroundings. */
@@ -30,6 +34,7 @@
   request.refuseRequestSchema,
   request.replayAnswerSchema,
   host.readPartSchema,
+  host.watchRegistrySchema,
   host.sendToPeerSchema,
   host.linkPeersSchema,
   host.timerWantedSchema,
@@ -64,6 +69,8 @@
   host.membershipChangedSchema,
   host.freshUntilSchema,
   host.manifestConfirmedSchema,
+  host.serversKnownSchema,
+  host.rosterChangedSchema,
 ]);
 
 export type HostEvent = z.infer<typeof hostEventSchema>;
--- a/packages/core/src/messages/hostMessages.ts
+++ b/packages/core/src/messages/hostMessages.ts
@@ -1,5 +1,11 @@
 import {z} from 'zod';
-import {documentSchema, hostListSchema, manifestSchema} from '@godwitspring/document';
+import {
+  discoveredServerSchema,
+  documentSchema,
+  hostListSchema,
+  manifestSchema,
+  registryChangeSchema,
+} from '@godwitspring/document';
 import {peerMessageSchema} from './peerMessages.ts';
 
 /** The platform answered a read of the host list that was asked at `askedAtMs`. */
@@ -149,3 +155,60 @@
   section: z.string(),
   value: z.record(z.string(), z.unknown()),
 });
+
+/** The registry answered a read or a watch. */
+export const registryReadSchema = z.object({
+  type: z.literal('registryRead'),
+  /** True where the changes are all that the registry holds; what they do not name is gone. */
+  isWhole: z.boolean(),
+  /** Revision up to which the changes reach. */
+  revision: z.number().int(),
+  changes: z.array(registryChangeSchema),
+  /** Moment on the host's clock at which the registry surely held nothing newer, in ms. */
+  asOfMs: z.number(),
+});
+
+/** A read of the registry failed. */
+export const registryUnreadableSchema = z.object({
+  type: z.literal('registryUnreadable'),
+  reason: z.string(),
+});
+
+/** Asks the surroundings to watch the registry, or to stop. */
+export const watchRegistrySchema = z.object({
+  type: z.literal('watchRegistry'),
+  isWanted: z.boolean(),
+});
+
+/** The backend servers that a host knows of. */
+export const serversKnownSchema = z.object({
+  type: z.literal('serversKnown'),
+  servers: z.array(discoveredServerSchema),
+  /** Servers whose entry went away lately without notice; to be used as a last resort. */
+  lapsedServerIds: z.array(z.string()),
+  /** Data centres that operators took out of service. */
+  outOfService: z.array(z.string()),
+});
+
+/** The hosts that are alive, as far as this host heard. */
+export const rosterChangedSchema = z.object({
+  type: z.literal('rosterChanged'),
+  live: z.array(
+    z.object({
+      hostId: z.string(),
+      dataCentre: z.string(),
+      /** Unix time of the start of the process by its own clock, in ms. */
+      bornMs: z.number(),
+    }),
+  ),
+  /** Hosts that are alive or were lately and did not say that they leave. */
+  knownCount: z.number().int(),
+});
+
+/** The process is about to stop; requests that arrive are still served. */
+export const leavingSoonSchema = z.object({type: z.literal('leavingSoon')});
+
+export type RegistryRead = z.infer<typeof registryReadSchema>;
+export type ServersKnown = z.infer<typeof serversKnownSchema>;
+export type RosterChanged = z.infer<typeof rosterChangedSchema>;
+export type LiveHost = RosterChanged['live'][number];
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -1,5 +1,7 @@
 import {z} from 'zod';
-import {hostListSchema, manifestSchema} from '@godwitspring/document';
+import {hostListSchema, manifestSchema, registryChangeSchema} from '@godwitspring/document';
+import {errorKindSchema} from '../errors/errorKinds.ts';
+import {workOutcomeSchema} from './workOutcome.ts';
 
 const versionSchema = z.number().int().min(0);
 const sha256Schema = z.string().length(64);
@@ -315,6 +317,141 @@
 /** The sender is stopping and will use none of its allowances again. */
 export const leavingSchema = z.object({type: z.literal('leaving')});
 
+/** What the sender heard of the hosts of the fleet. */
+export const rosterNewsSchema = z.object({
+  type: z.literal('rosterNews'),
+  isAnswerWanted: z.boolean(),
+  /** Names of data centres, to which the members refer by position. */
+  dataCentres: z.array(z.string()),
+  members: z.array(
+    z.object({
+      hostId: z.string(),
+      dataCentre: z.number().int().min(0),
+      /** Unix time of the start of the process by its own clock, in ms. */
+      bornMs: z.number(),
+      /** Counts the rounds of the process; it grows while the process lives. */
+      beat: z.number().int(),
+      isLeaving: z.boolean(),
+    }),
+  ),
+});
+
+/** Asks a peer for what is new in the registry since the revisions that the sender holds. */
+export const registryAskSchema = z.object({
+  type: z.literal('registryAsk'),
+  nonce: z.number().int(),
+  documentVersion: versionSchema,
+  revision: versionSchema,
+});
+
+/** What a peer knows of the registry. */
+export const registryAnswerSchema = z.object({
+  type: z.literal('registryAnswer'),
+  nonce: z.number().int(),
+  /** Age of the newest word of the registry, in ms; absent before the first. */
+  ageMs: z.number().min(0).optional(),
+  /** True where the changes are all that the peer holds. */
+  isWhole: z.boolean(),
+  revision: versionSchema,
+  documentVersion: versionSchema,
+  changes: z.array(registryChangeSchema),
+});
+
+/** Tells a host that asked lately that the registry changed. */
+export const registryChangedSchema = z.object({
+  type: z.literal('registryChanged'),
+  revision: versionSchema,
+});
+
+/** Asks the home of a backend on which server a request should run. */
+export const placeAskSchema = z.object({
+  type: z.literal('placeAsk'),
+  askId: z.number().int(),
+  backendId: z.string(),
+  routeId: z.string(),
+  customerId: z.string(),
+  isRepeatable: z.boolean(),
+  /** True where the request was sent to another server before and may run again. */
+  isRepeat: z.boolean(),
+  priority: z.number().int(),
+  /** Servers that were tried, or that the sender cannot reach. */
+  avoidedIds: z.array(z.string()),
+  /** Servers to which the sender has an idle connection. */
+  connectedIds: z.array(z.string()),
+  /** Time left for the whole request, in ms. */
+  leftMs: z.number(),
+  requestDigest: z.string(),
+  /** Name of the request towards callers and servers, for the logs. */
+  requestName: z.string(),
+});
+
+export const placeAnswerSchema = z.object({
+  type: z.literal('placeAnswer'),
+  askId: z.number().int(),
+  state: z.enum(['granted', 'waiting', 'refused']),
+  serverId: z.string().optional(),
+  /** Why the request is refused. */
+  kind: errorKindSchema.optional(),
+  /** Wait after which the request has a chance, in ms. */
+  retryAfterMs: z.number().min(0).optional(),
+  /** Time after which an unanswered attempt is late enough to send a second one, in ms. */
+  secondAfterMs: z.number().min(0).optional(),
+});
+
+
+/** A granted attempt ended, or was never started. */
+export const placeEndedSchema = z.object({
+  type: z.literal('placeEnded'),
+  askId: z.number().int(),
+  outcome: workOutcomeSchema,
+  /** Time for which the attempt ran, in ms. */
+  ranForMs: z.number().min(0),
+});
+
+/** The sender does not want the server of an ask any more. */
+export const placeWithdrawnSchema = z.object({
+  type: z.literal('placeWithdrawn'),
+  askId: z.number().int(),
+});
+
+/** Tells a new home of a backend what the sender runs and saw there lately. */
+export const placeHelloSchema = z.object({
+  type: z.literal('placeHello'),
+  backendId: z.string(),
+  running: z.array(
+    z.object({
+      askId: z.number().int(),
+      serverId: z.string(),
+      routeId: z.string(),
+      ageMs: z.number().min(0),
+    }),
+  ),
+  /** How the last attempt at each server ended. */
+  recent: z.array(
+    z.object({
+      serverId: z.string(),
+      outcome: workOutcomeSchema,
+      /** Time since the start of the attempt, in ms. */
+      startedAgoMs: z.number().min(0),
+    }),
+  ),
+});
+
+/** Asks the home of a customer whether one more request lies within its rate. */
+export const quotaAskSchema = z.object({
+  type: z.literal('quotaAsk'),
+  askId: z.number().int(),
+  customerId: z.string(),
+});
+
+export const quotaAnswerSchema = z.object({
+  type: z.literal('quotaAnswer'),
+  askId: z.number().int(),
+  isGranted: z.boolean(),
+  /** Time until the customer's next request lies within its rate, in ms. */
+  retryAfterMs: z.number().min(0).optional(),
+});
+
 /** Every message between hosts. */
 export const peerMessageSchema = z.discriminatedUnion('type', [
   heartbeatAskSchema,
@@ -347,6 +484,17 @@
   requestClearedSchema,
   requestBlockedSchema,
   leavingSchema,
+  rosterNewsSchema,
+  registryAskSchema,
+  registryAnswerSchema,
+  registryChangedSchema,
+  placeAskSchema,
+  placeAnswerSchema,
+  placeEndedSchema,
+  placeWithdrawnSchema,
+  placeHelloSchema,
+  quotaAskSchema,
+  quotaAnswerSchema,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
@@ -362,3 +510,10 @@
 export type ClaimAnswer = z.infer<typeof claimAnswerSchema>;
 export type ClaimEnded = z.infer<typeof claimEndedSchema>;
 export type LoanAnswer = z.infer<typeof loanAnswerSchema>;
+export type RosterNews = z.infer<typeof rosterNewsSchema>;
+export type RegistryAsk = z.infer<typeof registryAskSchema>;
+export type RegistryAnswer = z.infer<typeof registryAnswerSchema>;
+export type PlaceAsk = z.infer<typeof placeAskSchema>;
+export type PlaceAnswer = z.infer<typeof placeAnswerSchema>;
+export type PlaceEnded = z.infer<typeof placeEndedSchema>;
+export type PlaceHello = z.infer<typeof placeHelloSchema>;
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 import {errorKindSchema, outcomeSchema} from '../errors/errorKinds.ts';
 import {keptAnswerSchema} from './peerMessages.ts';
+import {workOutcomeSchema} from './workOutcome.ts';
 
 const requestIdSchema = z.number().int();
 
@@ -23,6 +24,8 @@
   budgetMs: z.number().optional(),
   /** Digest of method, path and what is known of the body; names repeats of the request. */
   requestDigest: z.string().optional(),
+  /** Name of the request towards callers and servers, for the logs. */
+  requestName: z.string().optional(),
 });
 
 /** The head of a backend server's answer arrived. */
@@ -33,6 +36,8 @@
   status: z.number().int(),
   /** True where the server itself says that it did not run the request. */
   saidNotRun: z.boolean(),
+  /** True where another server answered at the address than the one that was meant. */
+  isMisdirected: z.boolean().optional(),
 });
 
 export const attemptFailureSchema = z.enum([
@@ -175,6 +180,15 @@
   /** Servers that were tried already. */
   excludedServerIds: z.array(z.string()),
   deadlineAtMs: z.number(),
+  routeId: z.string().optional(),
+  /** True where the request was sent to another server before and may run again. */
+  isRepeat: z.boolean().optional(),
+  /** Rank of the work, 0 for the most urgent. */
+  priority: z.number().int().optional(),
+  /** Names repeats of the request; absent where unknown. */
+  requestDigest: z.string().optional(),
+  /** Name of the request towards callers and servers, for the logs. */
+  requestName: z.string().optional(),
 });
 
 export const serverGrantedSchema = z.object({
@@ -182,24 +196,18 @@
   requestId: requestIdSchema,
   serverId: z.string(),
   origin: z.string(),
+  /** Time after which an unanswered attempt is late enough to send a second one, in ms. */
+  secondAfterMs: z.number().optional(),
 });
 
 export const serverRefusedSchema = z.object({
   type: z.literal('serverRefused'),
   requestId: requestIdSchema,
   kind: errorKindSchema,
+  /** Wait after which the request has a chance, in ms. */
+  retryAfterMs: z.number().optional(),
 });
 
-export const workOutcomeSchema = z.enum([
-  'ok',
-  'error',
-  'timeout',
-  'lost',
-  'unreachable',
-  'shed',
-  'cancelled',
-]);
-
 /** A slot is free again, with what was seen of the server. */
 export const serverReleasedSchema = z.object({
   type: z.literal('serverReleased'),
@@ -211,6 +219,8 @@
   outcome: workOutcomeSchema,
   /** Time from the start of the attempt to the head of the answer, in ms. */
   latencyMs: z.number(),
+  /** Time from the start of the attempt to its end, in ms. */
+  ranForMs: z.number().optional(),
 });
 
 /** How a host may use the servers of a backend; servers not named are as usual. */
@@ -285,7 +295,6 @@
 
 export type RequestArrived = z.infer<typeof requestArrivedSchema>;
 export type AttemptFailure = z.infer<typeof attemptFailureSchema>;
-export type WorkOutcome = z.infer<typeof workOutcomeSchema>;
 export type ServerReleased = z.infer<typeof serverReleasedSchema>;
 export type ServerLimits = z.infer<typeof serverLimitsSchema>;
 export type ServerWanted = z.infer<typeof serverWantedSchema>;
@@ -298,3 +307,10 @@
   requestId: requestIdSchema,
   customerId: z.string(),
 });
+
+/** A connection to a server was opened or is open no more; one that is open is cheaper to use. */
+export const serverConnectionsSchema = z.object({
+  type: z.literal('serverConnections'),
+  /** Servers to which an idle connection is open. */
+  idleServerIds: z.array(z.string()),
+});
--- /dev/null
+++ b/packages/core/src/placement/backendHome.ts
@@ -0,0 +1,366 @@
+import type {Backend, DiscoveredServer, FleetDocument} from '@godwitspring/document';
+import type {ErrorKind} from '../errors/errorKinds.ts';
+import type {FleetBounds} from '../fleet/fleetBounds.ts';
+import type {ServersKnown} from '../messages/hostMessages.ts';
+import type {PlaceAsk, PlaceHello} from '../messages/peerMessages.ts';
+import type {WorkOutcome} from '../messages/workOutcome.ts';
+import {CrashSuspects} from './crashSuspects.ts';
+import {OutcomeShare} from './outcomeShare.ts';
+import type {PlacementCandidate, PlacementPolicy, PlacementSituation} from './placementPolicy.ts';
+import {RepeatWindow} from './repeatWindow.ts';
+import {ServerTrust} from './serverTrust.ts';
+import type {RunningAttempt} from './serverTrust.ts';
+import {SurestServer} from './surestServer.ts';
+import {TrialServer} from './trialServer.ts';
+import {WaitingLine} from './waitingLine.ts';
+import {WorkTimes} from './workTimes.ts';
+
+/** What became of an ask. */
+export type Placement =
+  | {
+      readonly state: 'granted';
+      readonly serverId: string;
+      readonly risk: number;
+      readonly secondAfterMs: number;
+      readonly provenAgoMs: number;
+    }
+  | {readonly state: 'waiting'; readonly expectedWaitMs: number}
+  | {readonly state: 'refused'; readonly kind: ErrorKind; readonly retryAfterMs: number};
+
+/** An ask and the host that sent it. */
+export interface Asker {
+  readonly hostId: string;
+  readonly dataCentre: string;
+}
+
+interface PlacedAttempt extends RunningAttempt {
+  readonly serverId: string;
+  readonly requestDigest: string;
+}
+
+/** Mean work time assumed before answers came, in ms. */
+const firstGuessMs = 250;
+/** Risk at which work that may run once waits rather than starts, and the wait that makes up for it. */
+const acceptedRisk = 0.2;
+const patienceMs = 300;
+const acceptedTrialRisk = 0.85;
+/** An attempt later than this share of the answers is joined by a second one. */
+const secondAfterShare = 0.92;
+/** The same for an attempt on a server that is not proven. */
+const secondAfterShareOnTrial = 0.8;
+/** Latest moment of a second attempt, as a share of the time in which the answer serves fully. */
+const latestSecondShare = 0.45;
+/** Risk from which an attempt counts as a trial. */
+const trialRisk = 0.05;
+/** Part of the allowed repeats above which nothing is sent to servers that are not proven. */
+const spareRepeatsBelow = 0.6;
+/** Age at which an attempt that nobody ended is forgotten, in ms: above any route's timeout here. */
+const forgottenAfterMs = 15_000;
+/** Time for which a server that said it is another one gets nothing, in ms. */
+const misdirectedMs = 5_000;
+const shortestRetryMs = 50;
+
+export interface BackendHomeOptions {
+  readonly backendId: string;
+  readonly bounds: FleetBounds;
+}
+
+/** Decides for one backend, with the whole fleet's work in view, where each attempt runs, waits or ends. */
+export class BackendHome {
+  readonly #options: BackendHomeOptions;
+  readonly #surest: PlacementPolicy = new SurestServer();
+  readonly #trial: PlacementPolicy = new TrialServer(this.#surest);
+  readonly #trusts = new Map<string, ServerTrust>();
+  readonly #placed = new Map<string, PlacedAttempt>();
+  readonly #workTimes = new Map<string, WorkTimes>();
+  readonly #outcomes = new OutcomeShare();
+  readonly #repeats: RepeatWindow;
+  readonly #crashes = new CrashSuspects();
+  readonly #misdirectedUntilMs = new Map<string, number>();
+  readonly line = new WaitingLine();
+  #servers: readonly DiscoveredServer[] = [];
+  #coldUntilMs = new Map<string, number>();
+  #lapsed: ReadonlySet<string> = new Set();
+  #backend: Backend | undefined;
+  #targetByRoute = new Map<string, number>();
+  #fleetShare = 1;
+
+  constructor(options: BackendHomeOptions) {
+    this.#options = options;
+    const {retryRatio, retryWindowMs, retrySlack} = options.bounds;
+    this.#repeats = new RepeatWindow({
+      ratio: retryRatio,
+      windowMs: retryWindowMs,
+      slack: retrySlack,
+    });
+  }
+
+  /** Part of the fleet that this home hears of, 0 to 1; bounds of the fleet are used by that part. */
+  setFleetShare(share: number): void {
+    this.#fleetShare = share;
+  }
+
+  setDocument(document: FleetDocument): void {
+    this.#backend = document.backends.find(({id}) => id === this.#options.backendId);
+    this.#targetByRoute = new Map(
+      document.routes.map(({id, targetLatencyMs, timeoutMs}) => [id, targetLatencyMs ?? timeoutMs]),
+    );
+  }
+
+  setServers({servers, lapsedServerIds, outOfService}: ServersKnown, nowMs: number): void {
+    const {backendId} = this.#options;
+    this.#lapsed = new Set(lapsedServerIds);
+    const own = servers.filter((server) => server.backendId === backendId);
+    this.#servers = own.filter(
+      ({state, dataCentre}) => state === 'in-service' && !outOfService.includes(dataCentre),
+    );
+    const known = new Set(own.map(({id}) => id));
+    for (const [serverId, trust] of this.#trusts) {
+      if (!known.has(serverId) && trust.running.size === 0) {
+        this.#trusts.delete(serverId);
+      }
+    }
+    this.#coldUntilMs = new Map(own.map(({id, coldForMs}) => [id, nowMs + coldForMs]));
+  }
+
+  /** Servers in service, for the logs. */
+  get serverCount(): number {
+    return this.#servers.length;
+  }
+
+  get failedShare(): number {
+    return this.#outcomes.failed;
+  }
+
+  /** Places a new ask, lets it wait or refuses it. */
+  take(key: string, ask: PlaceAsk, asker: Asker, nowMs: number): Placement {
+    if (ask.isRepeat) {
+      if (this.#repeats.use(nowMs) >= 1) {
+        return {state: 'refused', kind: 'overloaded', retryAfterMs: this.#typicalWorkMs(ask)};
+      }
+    } else {
+      this.#repeats.noteRequest(nowMs);
+    }
+    if (this.#crashes.isBlocked(ask.requestDigest, nowMs)) {
+      return {state: 'refused', kind: 'request-crashes-servers', retryAfterMs: 0};
+    }
+    if (this.#servers.length === 0) {
+      return {state: 'refused', kind: 'no-server', retryAfterMs: 1_000};
+    }
+    const granted = this.tryPlace(key, ask, asker, nowMs, nowMs);
+    return granted ?? this.#wait(key, ask, asker, nowMs);
+  }
+
+  /** Places an ask if a server is free that is good enough for it. */
+  tryPlace(
+    key: string,
+    ask: PlaceAsk,
+    asker: Asker,
+    arrivedAtMs: number,
+    nowMs: number,
+  ): Placement | undefined {
+    const candidates = this.#candidates(ask, asker, nowMs);
+    const situation = this.#situation(nowMs);
+    const isTrialAllowed = ask.isRepeatable && !ask.isRepeat;
+    const chosen = (isTrialAllowed ? this.#trial : this.#surest).choose(candidates, situation);
+    if (chosen === undefined) {
+      return undefined;
+    }
+    const patience = (nowMs - arrivedAtMs) / patienceMs;
+    const accepted = isTrialAllowed ? acceptedTrialRisk : acceptedRisk + patience;
+    if (chosen.risk > accepted) {
+      return undefined;
+    }
+    return this.#grant(key, ask, asker, chosen, nowMs);
+  }
+
+  /** Takes the end of an attempt; false where it is unknown here. */
+  end(key: string, outcome: WorkOutcome, ranForMs: number, nowMs: number): boolean {
+    const attempt = this.#placed.get(key);
+    if (attempt === undefined) {
+      return false;
+    }
+    this.#placed.delete(key);
+    const {serverId, routeId, requestDigest} = attempt;
+    const trust = this.#trust(serverId);
+    trust.running.delete(key);
+    trust.end(attempt, outcome, nowMs, this.#shareAbove);
+    this.#outcomes.note(outcome, nowMs);
+    if (outcome === 'ok') {
+      this.#times(routeId).note(ranForMs);
+      this.#crashes.clear(requestDigest);
+    }
+    if (outcome === 'lost') {
+      this.#crashes.note(requestDigest, serverId, nowMs);
+    }
+    if (outcome === 'misdirected') {
+      this.#misdirectedUntilMs.set(serverId, nowMs + misdirectedMs);
+    }
+    return true;
+  }
+
+  /** Takes what a host runs and saw, where this host has just become the home. */
+  welcome(hostId: string, {running, recent}: PlaceHello, nowMs: number): void {
+    for (const {askId, serverId, routeId, ageMs} of running) {
+      const key = `${hostId}/${askId}`;
+      const attempt = {hostId, routeId, startedAtMs: nowMs - ageMs};
+      this.#placed.set(key, {...attempt, serverId, requestDigest: ''});
+      this.#trust(serverId).start(key, attempt);
+    }
+    for (const {serverId, outcome, startedAgoMs} of recent) {
+      const attempt = {hostId, routeId: '', startedAtMs: nowMs - startedAgoMs};
+      this.#trust(serverId).end(attempt, outcome, nowMs, this.#shareAbove);
+    }
+  }
+
+  /** Forgets attempts whose host is gone or whose end was lost on the way. */
+  forgetLost(isAlive: (hostId: string) => boolean, nowMs: number): void {
+    for (const [key, attempt] of this.#placed) {
+      const isLost =
+        !isAlive(attempt.hostId) || nowMs - attempt.startedAtMs > forgottenAfterMs;
+      if (isLost) {
+        this.#placed.delete(key);
+        this.#trusts.get(attempt.serverId)?.running.delete(key);
+      }
+    }
+  }
+
+  /** Takes asks out of the line that can be served in time no more. */
+  takeUseless(nowMs: number): {key: string; hostId: string; ask: PlaceAsk; retryAfterMs: number}[] {
+    const useless: {key: string; hostId: string; ask: PlaceAsk; retryAfterMs: number}[] = [];
+    for (const [key, {hostId, ask, uselessAtMs}] of this.line.inOrder(nowMs)) {
+      if (nowMs >= uselessAtMs) {
+        this.line.remove(key);
+        useless.push({key, hostId, ask, retryAfterMs: this.#expectedWaitMs(ask)});
+      }
+    }
+    return useless;
+  }
+
+  #grant(
+    key: string,
+    ask: PlaceAsk,
+    {hostId}: Asker,
+    {serverId, risk}: PlacementCandidate,
+    nowMs: number,
+  ): Placement {
+    const {routeId, requestDigest} = ask;
+    const trust = this.#trust(serverId);
+    const provenAgoMs = nowMs - trust.provenAtMs;
+    const attempt: PlacedAttempt = {hostId, routeId, startedAtMs: nowMs, serverId, requestDigest};
+    this.#placed.set(key, attempt);
+    trust.start(key, attempt);
+    this.line.noteServed(ask.customerId, nowMs);
+    if (ask.isRepeat) {
+      this.#repeats.noteRepeat(nowMs);
+    }
+    return {
+      state: 'granted',
+      serverId,
+      risk,
+      provenAgoMs,
+      secondAfterMs: this.#secondAfterMs(routeId, risk),
+    };
+  }
+
+  #wait(key: string, ask: PlaceAsk, asker: Asker, nowMs: number): Placement {
+    const workMs = this.#typicalWorkMs(ask);
+    const expectedWaitMs = this.#expectedWaitMs(ask);
+    const uselessAtMs = nowMs + ask.leftMs - workMs;
+    if (nowMs + expectedWaitMs > uselessAtMs) {
+      const retryAfterMs = Math.max(shortestRetryMs, expectedWaitMs);
+      return {state: 'refused', kind: 'overloaded', retryAfterMs};
+    }
+    this.line.add(key, {hostId: asker.hostId, ask, arrivedAtMs: nowMs, uselessAtMs});
+    return {state: 'waiting', expectedWaitMs};
+  }
+
+  /** Time until a server is free for one more request of this rank, from the work that is ahead. */
+  #expectedWaitMs(ask: PlaceAsk): number {
+    const ahead = this.line.countBefore(ask.priority) + 1;
+    const slots = this.#servers.reduce((sum, server) => sum + server.slots, 0);
+    return slots === 0 ? 1_000 : (ahead * this.#typicalWorkMs(ask)) / slots;
+  }
+
+  #candidates(ask: PlaceAsk, {hostId, dataCentre}: Asker, nowMs: number): PlacementCandidate[] {
+    const usable: PlacementCandidate[] = [];
+    const lapsed: PlacementCandidate[] = [];
+    for (const server of this.#servers) {
+      const trust = this.#trust(server.id);
+      const isExcluded =
+        ask.avoidedIds.includes(server.id) ||
+        trust.running.size >= server.slots ||
+        trust.startsInSecond(nowMs) >= this.#startsPerSecond(server.id, nowMs) ||
+        (this.#misdirectedUntilMs.get(server.id) ?? 0) > nowMs ||
+        trust.isAvoidedBy(hostId, nowMs);
+      if (isExcluded) {
+        continue;
+      }
+      const candidate: PlacementCandidate = {
+        serverId: server.id,
+        risk: trust.risk(nowMs, this.#shareAbove),
+        running: trust.running.size,
+        recentStarts: trust.recentStarts(nowMs),
+        lastStartMs: trust.lastStartMs,
+        isConnected: ask.connectedIds.includes(server.id),
+        isLocal: server.dataCentre === dataCentre,
+      };
+      (this.#lapsed.has(server.id) ? lapsed : usable).push(candidate);
+    }
+    return usable.length > 0 ? usable : lapsed;
+  }
+
+  /** Requests that one server may get in a second, so that it bears them even if it turned cold unseen. */
+  #startsPerSecond(serverId: string, nowMs: number): number {
+    const rate = this.#backend?.coldRequestsPerSecond;
+    if (rate === undefined) {
+      return Number.POSITIVE_INFINITY;
+    }
+    const {coldOvershoot, coldSlack} = this.#options.bounds;
+    const isCold = (this.#coldUntilMs.get(serverId) ?? 0) > nowMs;
+    const bound = isCold ? rate : rate * coldOvershoot + coldSlack - 1;
+    return Math.max(1, Math.floor(bound * this.#fleetShare));
+  }
+
+  #situation(nowMs: number): PlacementSituation {
+    return {
+      nowMs,
+      serverCount: this.#servers.length,
+      failedShare: this.#outcomes.failed,
+      hasSpareRepeats: this.#repeats.use(nowMs) < spareRepeatsBelow,
+    };
+  }
+
+  #secondAfterMs(routeId: string, risk: number): number {
+    const times = this.#times(routeId);
+    const share = risk > trialRisk ? secondAfterShareOnTrial : secondAfterShare;
+    const targetMs = this.#targetByRoute.get(routeId) ?? Number.POSITIVE_INFINITY;
+    const latestMs = Math.max(targetMs * latestSecondShare, times.quantileMs(0.5));
+    return Math.min(times.quantileMs(share), latestMs);
+  }
+
+  #typicalWorkMs({routeId}: PlaceAsk): number {
+    return this.#times(routeId).quantileMs(0.5);
+  }
+
+  #times(routeId: string): WorkTimes {
+    let times = this.#workTimes.get(routeId);
+    if (times === undefined) {
+      times = new WorkTimes(firstGuessMs);
+      this.#workTimes.set(routeId, times);
+    }
+    return times;
+  }
+
+  readonly #shareAbove = (routeId: string, ageMs: number): number =>
+    this.#times(routeId).shareAbove(ageMs);
+
+  #trust(serverId: string): ServerTrust {
+    let trust = this.#trusts.get(serverId);
+    if (trust === undefined) {
+      trust = new ServerTrust();
+      this.#trusts.set(serverId, trust);
+    }
+    return trust;
+  }
+}
--- /dev/null
+++ b/packages/core/src/placement/serverTrust.ts
@@ -0,0 +1,162 @@
+import type {WorkOutcome} from '../messages/workOutcome.ts';
+
+/** One attempt that runs on a server. */
+export interface RunningAttempt {
+  readonly hostId: string;
+  readonly routeId: string;
+  readonly startedAtMs: number;
+}
+
+/** Share of the answers on a route that take longer than an age. */
+export type ShareAbove = (routeId: string, ageMs: number) => number;
+
+/**
+ * Servers fall silent for seconds while their probes pass; of those not heard of for long a quarter is
+ * taken to be so, and a server that just answered is wrong once in 300 times.
+ */
+const unknownRisk = 0.25;
+const provenRisk = 0.003;
+/** Time over which a proof loses its worth, in ms: servers change for the worse every 12 s or so. */
+const proofLifeMs = 10_000;
+/** Time in which doubt halves, in ms: a third of the usual length of a fault. */
+const doubtHalfLifeMs = 3_000;
+/** Most that the age of one running attempt adds, as a logarithm of odds. */
+const maxAgeDoubt = 6;
+/** Share of the doubt that is left after a good answer. */
+const doubtLeftByProof = 0.3;
+/** Doubt from which a former proof is void. */
+const voidingDoubt = 2;
+const maxDoubt = 8;
+/** Time for which a host does not use a server that it could not reach or that was silent to it, in ms. */
+const pairAvoidanceMs = 4_000;
+const rateWindowMs = 1_000;
+const spreadWindowMs = 2_000;
+
+/**
+ * Doubt that each end of an attempt adds, as a logarithm of odds: how much likelier it is from a faulty
+ * server than from a sound one. A sound server fails about one request in 80.
+ */
+const doubtByEnd: Readonly<Record<WorkOutcome, number>> = {
+  ok: 0,
+  error: 3,
+  timeout: 5,
+  lost: 3.5,
+  unreachable: 1.5,
+  shed: 2.5,
+  cancelled: 0,
+  misdirected: 20,
+};
+
+function logit(probability: number): number {
+  return Math.log(probability / (1 - probability));
+}
+
+/** What the home of a backend knows of one server, and how likely the next attempt there fails. */
+export class ServerTrust {
+  readonly running = new Map<string, RunningAttempt>();
+  #provenAtMs = Number.NEGATIVE_INFINITY;
+  #doubt = 0;
+  #doubtAtMs = 0;
+  readonly #startsMs: number[] = [];
+  readonly #avoidedUntilMs = new Map<string, number>();
+
+  /** Start of the newest attempt that ended well, in ms. */
+  get provenAtMs(): number {
+    return this.#provenAtMs;
+  }
+
+  /** Start of the newest attempt, in ms. */
+  get lastStartMs(): number {
+    return this.#startsMs.at(-1) ?? Number.NEGATIVE_INFINITY;
+  }
+
+  start(key: string, attempt: RunningAttempt): void {
+    this.running.set(key, attempt);
+    this.#startsMs.push(attempt.startedAtMs);
+    while ((this.#startsMs[0] ?? Number.POSITIVE_INFINITY) < attempt.startedAtMs - spreadWindowMs) {
+      this.#startsMs.shift();
+    }
+  }
+
+  /** Attempts started in the last second. */
+  startsInSecond(nowMs: number): number {
+    return this.#startsSince(nowMs - rateWindowMs);
+  }
+
+  /** Attempts started in the last two seconds. */
+  recentStarts(nowMs: number): number {
+    return this.#startsSince(nowMs - spreadWindowMs);
+  }
+
+  /** Takes the end of an attempt; `shareAbove` tells how unusual its length is. */
+  end(
+    attempt: RunningAttempt,
+    outcome: WorkOutcome,
+    nowMs: number,
+    shareAbove: ShareAbove,
+  ): void {
+    if (outcome === 'ok') {
+      this.#prove(attempt.startedAtMs, nowMs);
+      return;
+    }
+    const ageMs = nowMs - attempt.startedAtMs;
+    const ageDoubt = outcome === 'cancelled' ? this.#ageDoubt(attempt, ageMs, shareAbove) : 0;
+    const added = Math.max(doubtByEnd[outcome], ageDoubt);
+    this.doubt(added, nowMs);
+    const isPathSuspect = outcome === 'unreachable' || outcome === 'timeout' || outcome === 'lost';
+    if (isPathSuspect || ageDoubt >= voidingDoubt) {
+      this.#avoidedUntilMs.set(attempt.hostId, nowMs + pairAvoidanceMs);
+    }
+    const wasSilent = outcome === 'timeout' || outcome === 'lost' || ageDoubt >= voidingDoubt;
+    if (wasSilent && attempt.startedAtMs >= this.#provenAtMs) {
+      this.#provenAtMs = Number.NEGATIVE_INFINITY;
+    }
+  }
+
+  doubt(added: number, nowMs: number): void {
+    this.#doubt = Math.min(maxDoubt, this.#doubtNow(nowMs) + added);
+    this.#doubtAtMs = nowMs;
+  }
+
+  /** True where the host could not reach the server lately. */
+  isAvoidedBy(hostId: string, nowMs: number): boolean {
+    return (this.#avoidedUntilMs.get(hostId) ?? 0) > nowMs;
+  }
+
+  /** Likelihood that an attempt that starts now fails, 0 to 1. */
+  risk(nowMs: number, shareAbove: ShareAbove): number {
+    const sinceProofMs = nowMs - this.#provenAtMs;
+    const prior =
+      provenRisk + (unknownRisk - provenRisk) * (1 - Math.exp(-sinceProofMs / proofLifeMs));
+    let odds = logit(prior) + this.#doubtNow(nowMs);
+    for (const attempt of this.running.values()) {
+      odds += this.#ageDoubt(attempt, nowMs - attempt.startedAtMs, shareAbove);
+    }
+    return 1 / (1 + Math.exp(-odds));
+  }
+
+  #prove(startedAtMs: number, nowMs: number): void {
+    this.#provenAtMs = Math.max(this.#provenAtMs, startedAtMs);
+    this.#doubt = this.#doubtNow(nowMs) * doubtLeftByProof;
+    this.#doubtAtMs = nowMs;
+  }
+
+  #doubtNow(nowMs: number): number {
+    return this.#doubt * 0.5 ** ((nowMs - this.#doubtAtMs) / doubtHalfLifeMs);
+  }
+
+  #ageDoubt({routeId}: RunningAttempt, ageMs: number, shareAbove: ShareAbove): number {
+    return Math.min(maxAgeDoubt, -Math.log(shareAbove(routeId, Math.max(0, ageMs))));
+  }
+
+  #startsSince(sinceMs: number): number {
+    let count = 0;
+    for (let index = this.#startsMs.length - 1; index >= 0; index -= 1) {
+      if ((this.#startsMs[index] ?? 0) <= sinceMs) {
+        break;
+      }
+      count += 1;
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/packages/core/src/placement/trialServer.ts
@@ -0,0 +1,63 @@
+import type {PlacementCandidate, PlacementPolicy, PlacementSituation} from './placementPolicy.ts';
+
+/** Risk below which a server counts as proven. */
+const provenBelow = 0.04;
+/** Risk from which a server is not tried. */
+const hopelessFrom = 0.7;
+/** Share of the servers that should be proven and free, so that work that may run once finds one. */
+const wantedProvenShare = 0.25;
+const leastProven = 2;
+/** Interval between trials while enough servers are proven, in ms: each of 40 servers every 12 s. */
+const trialIntervalMs = 300;
+
+/**
+ * Sends work that may be repeated to servers of which little is known, so that others need not try them.
+ *
+ * Load pattern: idempotent lookups beside payments on servers that fall silent and recover by turns. A
+ * lookup that meets a silent server is sent again elsewhere; a payment would be lost. Trials stop while
+ * the fleet has no repeats to spare.
+ */
+export class TrialServer implements PlacementPolicy {
+  readonly #surest: PlacementPolicy;
+  #lastTrialMs = Number.NEGATIVE_INFINITY;
+
+  constructor(surest: PlacementPolicy) {
+    this.#surest = surest;
+  }
+
+  choose(
+    candidates: readonly PlacementCandidate[],
+    situation: PlacementSituation,
+  ): PlacementCandidate | undefined {
+    const {nowMs, serverCount, hasSpareRepeats} = situation;
+    if (!hasSpareRepeats) {
+      return this.#surest.choose(candidates, situation);
+    }
+    const proven = candidates.filter(({risk}) => risk < provenBelow).length;
+    const isShort = proven < Math.max(leastProven, serverCount * wantedProvenShare);
+    if (!isShort && nowMs - this.#lastTrialMs < trialIntervalMs) {
+      return this.#surest.choose(candidates, situation);
+    }
+    const tried = this.#leastKnown(candidates);
+    if (tried === undefined) {
+      return this.#surest.choose(candidates, situation);
+    }
+    this.#lastTrialMs = nowMs;
+    return tried;
+  }
+
+  /** Of the servers that are not proven and not hopeless, the one that was left alone for longest. */
+  #leastKnown(candidates: readonly PlacementCandidate[]): PlacementCandidate | undefined {
+    let best: PlacementCandidate | undefined;
+    for (const candidate of candidates) {
+      const {risk, running, lastStartMs} = candidate;
+      if (risk < provenBelow || risk >= hopelessFrom || running > 0) {
+        continue;
+      }
+      if (best === undefined || lastStartMs < best.lastStartMs) {
+        best = candidate;
+      }
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/packages/core/src/quota/quotaEntryTask.ts
@@ -0,0 +1,203 @@
+import type {Customer, FleetDocument} from '@godwitspring/document';
+import {HomeFinder} from '../fleet/homeFinder.ts';
+import type {CoreTask} from '../host/coreTask.ts';
+import type {CoreMessage} from '../messages/coreMessage.ts';
+import type {PeerMessage} from '../messages/peerMessages.ts';
+import type {HashFunction} from '../time/hashFunction.ts';
+import {CustomerBucket} from './customerBucket.ts';
+
+export interface QuotaEntryTaskOptions {
+  readonly hash: HashFunction;
+  /** First number of asks; differs between processes at the same host. */
+  readonly firstNonce: number;
+  /** Longest wait for the home of a customer, in ms. Default: 120, twenty round trips between data centres. */
+  readonly answerTimeoutMs: number;
+}
+
+export const DEFAULT_QUOTA_ENTRY_OPTIONS = {answerTimeoutMs: 120} as const;
+
+type Verdict = {readonly isGranted: boolean; readonly retryAfterMs: number | undefined};
+
+interface Ask {
+  readonly requestId: number;
+  readonly customerId: string;
+  readonly homeId: string;
+  readonly askedAtMs: number;
+}
+
+const timerId = 'quota.asks';
+const sweepMs = 40;
+/** Life of a permission: it is used as soon as a server is found, in ms. */
+const permitLifeMs = 10_000;
+const homePrefix = 'customer@';
+
+/** Asks the homes of customers for permission on behalf of the requests of this host. */
+export class QuotaEntryTask implements CoreTask {
+  readonly accepts = [
+    'permitForeseen',
+    'permitWanted',
+    'requestWithdrawn',
+    'documentInForce',
+    'rosterChanged',
+    'peerMessageReceived',
+    'timerFired',
+  ] as const;
+
+  readonly #options: QuotaEntryTaskOptions;
+  readonly #finder: HomeFinder;
+  readonly #asks = new Map<number, Ask>();
+  readonly #askByRequest = new Map<number, number>();
+  readonly #verdicts = new Map<number, Verdict>();
+  readonly #wanted = new Set<number>();
+  readonly #loneBuckets = new Map<string, CustomerBucket>();
+  #customers = new Map<string, Customer>();
+  #knownHosts = 1;
+  #nextAskId: number;
+  #isTimerSet = false;
+
+  constructor(
+    options: Partial<QuotaEntryTaskOptions> & Pick<QuotaEntryTaskOptions, 'hash' | 'firstNonce'>,
+  ) {
+    this.#options = {...DEFAULT_QUOTA_ENTRY_OPTIONS, ...options};
+    this.#finder = new HomeFinder(options.hash);
+    this.#nextAskId = options.firstNonce;
+  }
+
+  receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
+    switch (message.type) {
+      case 'permitForeseen':
+        return this.#ask(message.requestId, message.customerId, nowMs);
+      case 'permitWanted':
+        return this.#onWanted(message.requestId, message.customerId, nowMs);
+      case 'requestWithdrawn':
+        this.#forget(message.requestId);
+        return [];
+      case 'documentInForce':
+        return this.#onDocument(message.document);
+      case 'rosterChanged':
+        this.#finder.place(message.live);
+        this.#knownHosts = Math.max(1, message.knownCount);
+        return [];
+      case 'peerMessageReceived':
+        return this.#onPeer(message.fromHostId, message.message, nowMs);
+      case 'timerFired':
+        return message.timerId === timerId ? this.#onTimer(nowMs) : [];
+      default:
+        return [];
+    }
+  }
+
+  #onDocument(document: FleetDocument): readonly CoreMessage[] {
+    this.#customers = new Map(document.customers.map((customer) => [customer.id, customer]));
+    return [];
+  }
+
+  #onWanted(requestId: number, customerId: string, nowMs: number): readonly CoreMessage[] {
+    this.#wanted.add(requestId);
+    const verdict = this.#verdicts.get(requestId);
+    if (verdict !== undefined) {
+      return this.#tell(requestId, verdict, nowMs);
+    }
+    return this.#askByRequest.has(requestId) ? [] : this.#ask(requestId, customerId, nowMs);
+  }
+
+  #ask(requestId: number, customerId: string, nowMs: number): readonly CoreMessage[] {
+    const customer = this.#customers.get(customerId);
+    if (customer === undefined || customer.isUnlimited === true) {
+      return this.#settle(requestId, {isGranted: true, retryAfterMs: undefined}, nowMs);
+    }
+    const homeId = this.#finder.homeOf(homePrefix + customerId, nowMs);
+    if (homeId === undefined) {
+      return this.#decideAlone(requestId, customer, nowMs);
+    }
+    const askId = this.#nextAskId;
+    this.#nextAskId += 1;
+    this.#asks.set(askId, {requestId, customerId, homeId, askedAtMs: nowMs});
+    this.#askByRequest.set(requestId, askId);
+    const message: PeerMessage = {type: 'quotaAsk', askId, customerId};
+    return [{type: 'sendToPeer', toHostId: homeId, message}, ...this.#armTimer(nowMs)];
+  }
+
+  /** A host that no home answers uses its own part of the rate, as if all hosts did so at once. */
+  #decideAlone(requestId: number, customer: Customer, nowMs: number): readonly CoreMessage[] {
+    let bucket = this.#loneBuckets.get(customer.id);
+    if (bucket === undefined) {
+      bucket = new CustomerBucket(customer, nowMs);
+      this.#loneBuckets.set(customer.id, bucket);
+    }
+    const retryAfterMs = bucket.take(customer, 1 / this.#knownHosts, nowMs);
+    return this.#settle(requestId, {isGranted: retryAfterMs === 0, retryAfterMs}, nowMs);
+  }
+
+  #onPeer(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
+    if (message.type !== 'quotaAnswer') {
+      return [];
+    }
+    this.#finder.noteHeard(fromHostId);
+    const ask = this.#asks.get(message.askId);
+    if (ask?.homeId !== fromHostId) {
+      return [];
+    }
+    this.#asks.delete(message.askId);
+    this.#askByRequest.delete(ask.requestId);
+    const {isGranted, retryAfterMs} = message;
+    return this.#settle(ask.requestId, {isGranted, retryAfterMs}, nowMs);
+  }
+
+  /** A refusal is told at once, a permission when the request is ready for it. */
+  #settle(requestId: number, verdict: Verdict, nowMs: number): readonly CoreMessage[] {
+    this.#verdicts.set(requestId, verdict);
+    const isAwaited = !verdict.isGranted || this.#wanted.has(requestId);
+    return isAwaited ? this.#tell(requestId, verdict, nowMs) : [];
+  }
+
+  #tell(
+    requestId: number,
+    {isGranted, retryAfterMs}: Verdict,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    this.#forget(requestId);
+    if (isGranted) {
+      return [{type: 'permitGranted', requestId, usableUntilMs: nowMs + permitLifeMs}];
+    }
+    return [{type: 'permitRefused', requestId, kind: 'rate-limited', retryAfterMs}];
+  }
+
+  #forget(requestId: number): void {
+    this.#verdicts.delete(requestId);
+    this.#wanted.delete(requestId);
+    const askId = this.#askByRequest.get(requestId);
+    if (askId !== undefined) {
+      this.#askByRequest.delete(requestId);
+      this.#asks.delete(askId);
+    }
+  }
+
+  #armTimer(nowMs: number): readonly CoreMessage[] {
+    if (this.#isTimerSet || this.#asks.size === 0) {
+      return [];
+    }
+    this.#isTimerSet = true;
+    return [{type: 'timerWanted', timerId, atMs: nowMs + sweepMs}];
+  }
+
+  #onTimer(nowMs: number): readonly CoreMessage[] {
+    this.#isTimerSet = false;
+    const messages: CoreMessage[] = [];
+    for (const [askId, {requestId, customerId, homeId, askedAtMs}] of [...this.#asks]) {
+      if (nowMs - askedAtMs < this.#options.answerTimeoutMs) {
+        continue;
+      }
+      this.#asks.delete(askId);
+      this.#askByRequest.delete(requestId);
+      this.#finder.noteSilent(homeId, nowMs);
+      const fields = {requestId, customerId, homeId};
+      messages.push(
+        {type: 'log', level: 'warn', event: 'quota.homeSilent', fields},
+        {type: 'count', name: 'quota.homeSilent', tags: {}},
+        ...this.#ask(requestId, customerId, nowMs),
+      );
+    }
+    return [...messages, ...this.#armTimer(nowMs)];
+  }
+}
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -4,32 +4,35 @@
 import type {CoreTask} from '../host/coreTask.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
 import type {KeptAnswer} from '../messages/peerMessages.ts';
-import type {AttemptFailure, RequestArrived, WorkOutcome} from '../messages/requestMessages.ts';
-import {DocumentIndex} from '../routing/documentIndex.ts';
+import type {AttemptFailure, RequestArrived} from '../messages/requestMessages.ts';
+import type {WorkOutcome} from '../messages/workOutcome.ts';
 import {RequestNames} from '../repeats/requestNames.ts';
-import {admitRequest, requestName} from './admitRequest.ts';
-import {endRequest} from './endRequest.ts';
-import {releaseServer} from './releaseServer.ts';
-import {DEFAULT_RETRY_BUDGETS_OPTIONS, RetryBudgets} from './retryBudgets.ts';
-import type {RetryBudgetsOptions, RetryCause} from './retryBudgets.ts';
-import type {RequestState} from './requestState.ts';
+import {DocumentIndex} from '../routing/documentIndex.ts';
+import type {RandomSource} from '../time/randomSource.ts';
+import {SeededRandom} from '../time/seededRandom.ts';
+import {admitRequest, requestKey} from './admitRequest.ts';
+import {cancelOthers, endRequest} from './endRequest.ts';
+import {releaseServer, withdrawRequest} from './releaseServer.ts';
+import type {AttemptState, GrantedServer, RequestState} from './requestState.ts';
+import {RetryBudgets} from './retryBudgets.ts';
+import type {RetryCause, RetryGuard} from './retryGuard.ts';
 import {startAttempt} from './startAttempt.ts';
 
 export interface RequestTaskOptions {
-  /** Attempts at one request in all. Default: 3. */
+  /** Servers to which one request may be sent where its route does not say. Default: 3. */
   readonly maxAttempts: number;
   /** Least time left in which an attempt is worth its start, in ms. Default: 5. */
   readonly minAttemptMs: number;
-  readonly retryBudgets: RetryBudgetsOptions;
+  /** Who decides on retries. Default: budgets of this host. */
+  readonly retryGuard: RetryGuard;
+  /** True where routes that are open to all need a fresh view too. Default: true. */
+  readonly isFreshnessForAll: boolean;
+  /** Divides requests among the backends of a route. Default: a fixed seed. */
+  readonly random: RandomSource;
 }
 
-export const DEFAULT_REQUEST_TASK_OPTIONS: RequestTaskOptions = {
-  maxAttempts: 3,
-  minAttemptMs: 5,
-  retryBudgets: DEFAULT_RETRY_BUDGETS_OPTIONS,
-};
-
 const timerPrefix = 'request:';
+const secondPrefix = 'second:';
 /** Time for which a request that may have crashed a server is watched for a good answer, in ms. */
 const watchAnswerMs = 60_000;
 /** Connections that one request may break before it is not sent again. */
@@ -61,6 +64,7 @@
 const causeByOutcome: Readonly<Partial<Record<WorkOutcome, RetryCause>>> = {
   unreachable: 'unreachable',
   shed: 'shed',
+  misdirected: 'shed',
 };
 
 /** Leads each request from its arrival to its answer or refusal; decides on retries. */
@@ -83,21 +87,27 @@
     'documentInForce',
     'freshUntil',
     'shutdownWanted',
+    'leavingSoon',
     'statusWanted',
   ] as const;
 
   readonly #options: RequestTaskOptions;
-  readonly #budgets: RetryBudgets;
   readonly #requests = new Map<number, RequestState>();
   readonly #blocked = new RequestNames();
   readonly #watched = new RequestNames();
   #index: DocumentIndex | undefined;
   #freshUntilMs = Number.NEGATIVE_INFINITY;
   #isShuttingDown = false;
-
-  constructor(options: Partial<RequestTaskOptions> = {}) {
-    this.#options = {...DEFAULT_REQUEST_TASK_OPTIONS, ...options};
-    this.#budgets = new RetryBudgets(this.#options.retryBudgets);
+  #isLeaving = false;
+
+  constructor({
+    maxAttempts = 3,
+    minAttemptMs = 5,
+    retryGuard = new RetryBudgets(),
+    isFreshnessForAll = true,
+    random = new SeededRandom(1),
+  }: Partial<RequestTaskOptions> = {}) {
+    this.#options = {maxAttempts, minAttemptMs, retryGuard, isFreshnessForAll, random};
   }
 
   receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
@@ -111,33 +121,39 @@
         return [];
       case 'repeatsBlocked': {
         const {customerId, routeId, requestDigest, untilMs} = message;
-        this.#blocked.add(requestName(customerId, routeId, requestDigest), untilMs);
+        this.#blocked.add(requestKey(customerId, routeId, requestDigest), untilMs);
         return [];
       }
       case 'answerWatched': {
         const {customerId, routeId, requestDigest} = message;
-        this.#watched.add(requestName(customerId, routeId, requestDigest), nowMs + watchAnswerMs);
+        this.#watched.add(requestKey(customerId, routeId, requestDigest), nowMs + watchAnswerMs);
         return [];
       }
       case 'shutdownWanted':
         this.#isShuttingDown = true;
         return [];
+      case 'leavingSoon':
+        this.#isLeaving = true;
+        return [];
       case 'timerFired':
         return this.#onTimer(message.timerId, nowMs);
-      case 'statusWanted': {
-        const value = {
-          inProgress: this.#requests.size,
-          isReady:
-            this.#index !== undefined && nowMs <= this.#freshUntilMs && !this.#isShuttingDown,
-          freshForMs: Math.max(0, this.#freshUntilMs - nowMs),
-        };
-        return [{type: 'statusTold', askId: message.askId, section: 'requests', value}];
-      }
+      case 'statusWanted':
+        return [this.#status(message.askId, nowMs)];
       default:
         return this.#onProgress(message, nowMs);
     }
   }
 
+  #status(askId: number, nowMs: number): CoreMessage {
+    const isLeaving = this.#isShuttingDown || this.#isLeaving;
+    const value = {
+      inProgress: this.#requests.size,
+      isReady: this.#index !== undefined && nowMs <= this.#freshUntilMs && !isLeaving,
+      freshForMs: Math.max(0, this.#freshUntilMs - nowMs),
+    };
+    return {type: 'statusTold', askId, section: 'requests', value};
+  }
+
   #onProgress(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
     const request = 'requestId' in message ? this.#requests.get(message.requestId) : undefined;
     if (request === undefined) {
@@ -147,15 +163,17 @@
       case 'claimGranted':
         return request.phase === 'claim' ? this.#begin(request) : [];
       case 'claimRefused':
-        return this.#onClaimRefused(request, message.kind, message.answer);
-      case 'serverGranted':
-        return this.#onServer(request, message.serverId, message.origin, nowMs);
+        return this.#onClaimRefused(request, message.kind, message.answer, nowMs);
+      case 'serverGranted': {
+        const {serverId, origin, secondAfterMs} = message;
+        return this.#onServer(request, {serverId, origin, secondAfterMs}, nowMs);
+      }
       case 'serverRefused':
-        return this.#refuse(request, message.kind);
+        return this.#onServerRefused(request, message.kind, message.retryAfterMs, nowMs);
       case 'permitGranted':
         return this.#onPermit(request, message.usableUntilMs, nowMs);
       case 'permitRefused':
-        return this.#onPermitRefused(request, message.kind, message.retryAfterMs);
+        return this.#onPermitRefused(request, message.kind, message.retryAfterMs, nowMs);
       case 'attemptAnswered':
         return this.#onAnswered(request, message, nowMs);
       case 'attemptFailed':
@@ -163,7 +181,7 @@
       case 'attemptFinished':
         return this.#onFinished(request, message.attempt, message.answer, nowMs);
       case 'callerLeft':
-        return this.#onCallerLeft(request);
+        return this.#onCallerLeft(request, nowMs);
       default:
         return [];
     }
@@ -175,20 +193,34 @@
   }
 
   #onArrived(message: RequestArrived, nowMs: number): readonly CoreMessage[] {
-    const {requestId} = message;
+    const {requestId, requestName = '', host, path, method} = message;
     const request = admitRequest(message, {
       index: this.#index,
       isFresh: nowMs <= this.#freshUntilMs,
+      isFreshnessForAll: this.#options.isFreshnessForAll,
       isShuttingDown: this.#isShuttingDown,
       minAttemptMs: this.#options.minAttemptMs,
       isBlocked: (name) => this.#blocked.has(name, nowMs),
+      random: this.#options.random,
       nowMs,
     });
     if (typeof request === 'string') {
-      return this.#refuseAtOnce(requestId, request);
+      const fields = {
+        requestName,
+        kind: request,
+        host,
+        path,
+        method,
+        version: this.#index?.document.version,
+        freshForMs: Math.round(this.#freshUntilMs - nowMs),
+      };
+      return [
+        ...this.#refuseAtOnce(requestId, request),
+        {type: 'log', level: 'warn', event: 'request.notAdmitted', fields},
+      ];
     }
     this.#requests.set(requestId, request);
-    this.#budgets.earn();
+    this.#options.retryGuard.earn();
     const timerId = `${timerPrefix}${requestId}`;
     return [
       {type: 'timerWanted', timerId, atMs: request.deadlineAtMs},
@@ -208,6 +240,7 @@
 
   #begin(request: RequestState): readonly CoreMessage[] {
     const {requestId, customerId} = request;
+    request.phase = 'server';
     const server = this.#wantServer(request);
     return customerId === undefined
       ? [server]
@@ -215,86 +248,175 @@
   }
 
   #wantServer(request: RequestState): CoreMessage {
-    request.phase = 'server';
+    const tried = [...request.running.values()].map(({serverId}) => serverId);
     return {
       type: 'serverWanted',
       requestId: request.requestId,
       backendId: request.backend.id,
       customerId: request.customerId,
       isRepeatable: request.isIdempotent && request.isReplayable,
-      excludedServerIds: [...request.excludedServerIds],
+      excludedServerIds: [...request.excludedServerIds, ...tried],
       deadlineAtMs: request.deadlineAtMs,
+      routeId: request.route.id,
+      isRepeat: request.isNextARepeat || tried.length > 0,
+      priority: request.priority,
+      requestDigest: request.requestDigest,
+      requestName: request.requestName,
     };
   }
 
   #onServer(
     request: RequestState,
-    serverId: string,
-    origin: string,
+    granted: GrantedServer,
     nowMs: number,
   ): readonly CoreMessage[] {
-    request.serverId = serverId;
-    request.origin = origin;
-    if (nowMs > this.#freshUntilMs) {
-      return this.#refuse(request, 'host-not-current');
+    if (request.phase === 'attempt' && request.isSecondWanted) {
+      return this.#start(request, granted, nowMs);
+    }
+    request.granted = granted;
+    if (request.phase !== 'server') {
+      return withdrawRequest(request);
+    }
+    if (this.#isStale(request, nowMs)) {
+      return this.#refuse(request, 'host-not-current', nowMs);
     }
     if (request.isPermitted || request.customerId === undefined) {
-      return [startAttempt(request, nowMs)];
+      return this.#start(request, granted, nowMs);
     }
     request.phase = 'permit';
     const {requestId, customerId, deadlineAtMs} = request;
     return [{type: 'permitWanted', requestId, customerId, deadlineAtMs}];
   }
 
+  #isStale(request: RequestState, nowMs: number): boolean {
+    const isBound = this.#options.isFreshnessForAll || request.customerId !== undefined;
+    return isBound && nowMs > this.#freshUntilMs;
+  }
+
+  #start(request: RequestState, granted: GrantedServer, nowMs: number): readonly CoreMessage[] {
+    const started = startAttempt(request, granted, nowMs);
+    const {requestId, requestName, isIdempotent, isReplayable} = request;
+    const fields = {
+      requestName,
+      attempt: started.attempt,
+      serverId: granted.serverId,
+      sinceArrivalMs: Math.round(nowMs - request.arrivedAtMs),
+      leftMs: Math.round(started.timeoutMs),
+      beside: request.running.size - 1,
+    };
+    const messages: CoreMessage[] = [
+      started,
+      {type: 'log', level: 'info', event: 'attempt.started', fields},
+    ];
+    const {secondAfterMs} = granted;
+    if (secondAfterMs !== undefined && isIdempotent && isReplayable && request.running.size === 1) {
+      const timerId = `${secondPrefix}${requestId}:${started.attempt}`;
+      messages.push({type: 'timerWanted', timerId, atMs: nowMs + secondAfterMs});
+    }
+    return messages;
+  }
+
+  /** Without a server for a second attempt the first goes on alone. */
+  #onServerRefused(
+    request: RequestState,
+    kind: ErrorKind,
+    retryAfterMs: number | undefined,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    if (request.running.size > 0 && request.isSecondWanted) {
+      request.isSecondWanted = false;
+      return [this.#count('second.refused', request)];
+    }
+    return this.#refuse(request, kind, nowMs, {retryAfterMs});
+  }
+
   #onPermit(request: RequestState, usableUntilMs: number, nowMs: number): readonly CoreMessage[] {
-    if (request.phase !== 'permit' || request.customerId === undefined) {
+    const {granted, requestId, customerId, deadlineAtMs} = request;
+    if (request.phase !== 'permit' || customerId === undefined || granted === undefined) {
       return [];
     }
     if (nowMs > this.#freshUntilMs) {
-      return this.#refuse(request, 'host-not-current');
+      return this.#refuse(request, 'host-not-current', nowMs);
     }
-    const {requestId, customerId, deadlineAtMs} = request;
     if (nowMs > usableUntilMs) {
       return [{type: 'permitWanted', requestId, customerId, deadlineAtMs}];
     }
     if (this.#index?.customer(customerId) === undefined) {
-      return this.#refuse(request, 'key-unknown');
+      return this.#refuse(request, 'key-unknown', nowMs);
     }
     request.isPermitted = true;
-    return [startAttempt(request, nowMs)];
+    return this.#start(request, granted, nowMs);
   }
 
   #onPermitRefused(
     request: RequestState,
     kind: ErrorKind,
     retryAfterMs: number | undefined,
+    nowMs: number,
   ): readonly CoreMessage[] {
     const isWaiting = request.phase === 'permit' || request.phase === 'server';
-    return isWaiting && !request.isPermitted ? this.#refuse(request, kind, {retryAfterMs}) : [];
+    return isWaiting && !request.isPermitted
+      ? this.#refuse(request, kind, nowMs, {retryAfterMs})
+      : [];
   }
 
   #onAnswered(
     request: RequestState,
-    message: {attempt: number; status: number; saidNotRun: boolean},
+    message: {
+      attempt: number;
+      status: number;
+      saidNotRun: boolean;
+      isMisdirected?: boolean | undefined;
+    },
     nowMs: number,
   ): readonly CoreMessage[] {
-    if (request.phase !== 'attempt' || message.attempt !== request.attempt) {
+    const running = request.running.get(message.attempt);
+    if (request.phase !== 'attempt' || running === undefined) {
       return [];
     }
-    request.headLatencyMs = nowMs - request.attemptStartedAtMs;
+    running.headLatencyMs = nowMs - running.startedAtMs;
     if (message.saidNotRun) {
-      return this.#retryOr(request, 'shed', 'server-shed', nowMs);
+      const outcome = message.isMisdirected === true ? 'misdirected' : 'shed';
+      return this.#retryOr(request, running, outcome, 'server-shed', nowMs);
     }
     const isFailure = message.status >= 500;
-    if (isFailure && request.isIdempotent && this.#canRetry(request, 'failure', nowMs)) {
-      request.hasBeenInDoubt = true;
-      return this.#retry(request, 'error', 'server-error');
+    if (isFailure && request.isIdempotent) {
+      if (request.running.size > 1 || this.#canRetry(request, 'failure', nowMs)) {
+        request.hasBeenInDoubt = true;
+        return this.#retry(request, running, 'error', 'server-error', nowMs);
+      }
     }
+    return this.#deliver(request, running, message.status, nowMs);
+  }
+
+  #deliver(
+    request: RequestState,
+    {attempt, serverId, headLatencyMs}: AttemptState,
+    status: number,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    const {requestId, requestName} = request;
+    const isFailure = status >= 500;
     request.phase = 'delivering';
     request.hasServerFailed = isFailure;
-    const {requestId, attempt} = request;
-    const deliver: CoreMessage = {type: 'deliverAnswer', requestId, attempt};
-    return isFailure ? [deliver, this.#count('server.error', request)] : [deliver];
+    const fields = {
+      requestName,
+      route: request.route.id,
+      customer: request.customerId,
+      attempt,
+      serverId,
+      status,
+      latencyMs: Math.round(headLatencyMs ?? 0),
+      totalMs: Math.round(nowMs - request.arrivedAtMs),
+    };
+    const messages: CoreMessage[] = [
+      ...cancelOthers(request, attempt, nowMs),
+      ...(request.isSecondWanted ? withdrawRequest(request) : []),
+      {type: 'deliverAnswer', requestId, attempt},
+      {type: 'log', level: isFailure ? 'warn' : 'info', event: 'request.delivering', fields},
+    ];
+    request.isSecondWanted = false;
+    return isFailure ? [...messages, this.#count('server.error', request)] : messages;
   }
 
   #onFailed(
@@ -302,64 +424,85 @@
     message: {attempt: number; failure: AttemptFailure; mayHaveRun: boolean},
     nowMs: number,
   ): readonly CoreMessage[] {
-    if (message.attempt !== request.attempt) {
+    const running = request.running.get(message.attempt);
+    if (running === undefined) {
       return [];
     }
-    request.ranForMs = nowMs - request.attemptStartedAtMs;
     const outcome = workOutcomeByFailure[message.failure];
     if (request.phase === 'delivering') {
-      return this.#end(request, outcome);
+      return this.#end(request, outcome, nowMs);
     }
     const kind = kindByFailure[message.failure];
     if (outcome === 'cancelled') {
-      return this.#refuse(request, kind, {outcome: 'unknown'}, outcome);
+      return this.#refuse(request, kind, nowMs, {outcome: 'unknown'}, outcome);
     }
     if (!message.mayHaveRun) {
-      return this.#retryOr(request, outcome, kind, nowMs);
+      return this.#retryOr(request, running, outcome, kind, nowMs);
     }
     request.hasBeenInDoubt = true;
     const hasCrashedServers = message.failure === 'lost' && request.losses.length + 1 >= maxLosses;
     if (hasCrashedServers) {
-      return this.#refuse(request, 'request-crashes-servers', {}, outcome);
+      return this.#refuse(request, 'request-crashes-servers', nowMs, {}, outcome);
     }
     if (request.isIdempotent) {
-      return this.#retryOr(request, outcome, kind, nowMs);
+      return this.#retryOr(request, running, outcome, kind, nowMs);
     }
-    return this.#refuse(request, kind, {}, outcome);
+    return this.#refuse(request, kind, nowMs, {}, outcome);
   }
 
-  /** Retries where allowed; otherwise refuses. */
+  /** Lets another attempt go on, else retries where allowed, else refuses. */
   #retryOr(
     request: RequestState,
+    running: AttemptState,
     outcome: WorkOutcome,
     kind: ErrorKind,
     nowMs: number,
   ): readonly CoreMessage[] {
-    if (this.#canRetry(request, causeByOutcome[outcome] ?? 'failure', nowMs)) {
-      return this.#retry(request, outcome, kind);
+    const cause = causeByOutcome[outcome] ?? 'failure';
+    if (request.running.size > 1 || this.#canRetry(request, cause, nowMs)) {
+      return this.#retry(request, running, outcome, kind, nowMs);
     }
-    return this.#refuse(request, kind, {}, outcome);
+    return this.#refuse(request, kind, nowMs, {}, outcome);
   }
 
   #canRetry(request: RequestState, cause: RetryCause, nowMs: number): boolean {
-    if (!request.isReplayable || request.attempt >= this.#options.maxAttempts) {
+    const {maxAttempts, minAttemptMs, retryGuard} = this.#options;
+    if (!request.isReplayable || request.attempt >= (request.route.maxAttempts ?? maxAttempts)) {
       return false;
     }
-    if (request.deadlineAtMs - nowMs < this.#options.minAttemptMs) {
+    if (request.deadlineAtMs - nowMs < minAttemptMs) {
       return false;
     }
-    return this.#budgets.spend(cause);
+    return retryGuard.spend(cause);
   }
 
-  #retry(request: RequestState, outcome: WorkOutcome, reason: string): readonly CoreMessage[] {
-    const {requestId, attempt} = request;
-    const released = releaseServer(request, outcome);
-    return [
+  /** Gives a failed attempt's server back; wants another one unless an attempt runs or is wanted. */
+  #retry(
+    request: RequestState,
+    running: AttemptState,
+    outcome: WorkOutcome,
+    reason: string,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    const {requestId, requestName} = request;
+    const {attempt, serverId, startedAtMs} = running;
+    const ranForMs = Math.round(nowMs - startedAtMs);
+    const fields = {requestName, attempt, serverId, outcome, ranForMs};
+    const messages: CoreMessage[] = [
       {type: 'discardAnswer', requestId, attempt},
-      ...released,
-      this.#count(`retry.${reason}`, request),
-      this.#wantServer(request),
+      ...releaseServer(request, running, outcome, nowMs),
+      {type: 'log', level: 'warn', event: 'attempt.failed', fields},
     ];
+    if (request.running.size > 0) {
+      return messages;
+    }
+    if (!request.isSecondWanted) {
+      request.isNextARepeat ||= outcome !== 'unreachable';
+      messages.push({type: 'requestWithdrawn', requestId}, this.#wantServer(request));
+    }
+    request.isSecondWanted = false;
+    request.phase = 'server';
+    return [...messages, this.#count(`retry.${reason}`, request)];
   }
 
   /** Tells that a request that may have crashed a server was answered well. */
@@ -367,7 +510,7 @@
     {customerId = '', route, requestDigest}: RequestState,
     nowMs: number,
   ): readonly CoreMessage[] {
-    const name = requestName(customerId, route.id, requestDigest);
+    const name = requestKey(customerId, route.id, requestDigest);
     if (!this.#watched.has(name, nowMs)) {
       return [];
     }
@@ -381,13 +524,15 @@
     answer: KeptAnswer | undefined,
     nowMs: number,
   ): readonly CoreMessage[] {
-    if (request.phase !== 'delivering' || attempt !== request.attempt) {
+    const running = request.running.get(attempt);
+    if (request.phase !== 'delivering' || running === undefined) {
       return [];
     }
     const {requestId, hasServerFailed} = request;
     return [
       {type: 'claimSettled', requestId, state: 'answered', answer},
-      ...this.#end(request, hasServerFailed ? 'error' : 'ok'),
+      ...releaseServer(request, running, hasServerFailed ? 'error' : 'ok', nowMs),
+      ...this.#end(request, 'ok', nowMs),
       ...(hasServerFailed ? [] : this.#clear(request, nowMs)),
       this.#count('request.answered', request),
     ];
@@ -397,26 +542,38 @@
     request: RequestState,
     kind: ErrorKind,
     answer: KeptAnswer | undefined,
+    nowMs: number,
   ): readonly CoreMessage[] {
     if (request.phase !== 'claim') {
       return [];
     }
     if (answer === undefined) {
-      return this.#refuse(request, kind);
+      return this.#refuse(request, kind, nowMs);
     }
     const {requestId} = request;
     const count = this.#count('request.replayed', request);
-    return [...this.#end(request, 'cancelled'), {type: 'replayAnswer', requestId, answer}, count];
+    return [
+      ...this.#end(request, 'cancelled', nowMs),
+      {type: 'replayAnswer', requestId, answer},
+      count,
+    ];
   }
 
-  #onCallerLeft(request: RequestState): readonly CoreMessage[] {
-    const {requestId, attempt, phase} = request;
-    const ended = this.#end(request, 'cancelled');
-    const isRunning = phase === 'attempt' || phase === 'delivering';
-    return isRunning ? [{type: 'cancelAttempt', requestId, attempt}, ...ended] : ended;
+  #onCallerLeft(request: RequestState, nowMs: number): readonly CoreMessage[] {
+    const {requestName, phase} = request;
+    const fields = {requestName, phase, afterMs: Math.round(nowMs - request.arrivedAtMs)};
+    return [
+      ...this.#end(request, 'cancelled', nowMs),
+      {type: 'log', level: 'info', event: 'request.callerLeft', fields},
+      this.#count('request.callerLeft', request),
+    ];
   }
 
   #onTimer(timerId: string, nowMs: number): readonly CoreMessage[] {
+    if (timerId.startsWith(secondPrefix)) {
+      const [requestId, attempt] = timerId.slice(secondPrefix.length).split(':');
+      return this.#onLate(Number(requestId), Number(attempt), nowMs);
+    }
     if (!timerId.startsWith(timerPrefix)) {
       return [];
     }
@@ -424,43 +581,68 @@
     if (request === undefined || nowMs < request.deadlineAtMs) {
       return [];
     }
-    return this.#onDeadline(request);
+    return this.#onDeadline(request, nowMs);
   }
 
-  #onDeadline(request: RequestState): readonly CoreMessage[] {
-    const {requestId, attempt} = request;
-    const cancel: CoreMessage = {type: 'cancelAttempt', requestId, attempt};
+  /** Joins an attempt that is late by a second one on another server. */
+  #onLate(requestId: number, attempt: number, nowMs: number): readonly CoreMessage[] {
+    const request = this.#requests.get(requestId);
+    const isAlone = request?.running.has(attempt) === true && request.running.size === 1;
+    if (request?.phase !== 'attempt' || !isAlone || !this.#canRetry(request, 'failure', nowMs)) {
+      return [];
+    }
+    request.isSecondWanted = true;
+    return [this.#wantServer(request), this.#count('second.late', request)];
+  }
+
+  #onDeadline(request: RequestState, nowMs: number): readonly CoreMessage[] {
     switch (request.phase) {
       case 'claim':
-        return this.#refuse(request, 'repeat-unknown');
+        return this.#refuse(request, 'repeat-unknown', nowMs);
       case 'server':
-        return this.#refuse(request, 'overloaded');
+        return this.#refuse(request, 'overloaded', nowMs);
       case 'permit':
-        return this.#refuse(request, 'allowance-unavailable');
+        return this.#refuse(request, 'allowance-unavailable', nowMs);
       case 'attempt':
         request.hasBeenInDoubt = true;
-        return [cancel, ...this.#refuse(request, 'answer-timeout', {}, 'timeout')];
+        return this.#refuse(request, 'answer-timeout', nowMs, {}, 'timeout');
       case 'delivering':
-        return [cancel, ...this.#end(request, 'timeout')];
+        return this.#end(request, 'timeout', nowMs);
     }
   }
 
-  #end(request: RequestState, outcome: WorkOutcome): readonly CoreMessage[] {
+  #end(request: RequestState, outcome: WorkOutcome, nowMs: number): readonly CoreMessage[] {
     this.#requests.delete(request.requestId);
-    return endRequest(request, outcome);
+    return endRequest(request, outcome, nowMs);
   }
 
   #refuse(
     request: RequestState,
     kind: ErrorKind,
+    nowMs: number,
     {retryAfterMs, outcome}: RefusalOptions = {},
     workOutcome: WorkOutcome = 'cancelled',
   ): readonly CoreMessage[] {
-    const ended = this.#end(request, workOutcome);
+    const servers = [...request.running.values()].map(({serverId}) => serverId);
+    const ended = this.#end(request, workOutcome, nowMs);
     const told = request.hasBeenInDoubt ? 'unknown' : (outcome ?? answerTable[kind].outcome);
+    const {requestId, requestName, phase, attempt} = request;
+    const fields = {
+      requestName,
+      kind,
+      outcome: told,
+      phase,
+      attempts: attempt,
+      servers,
+      route: request.route.id,
+      customer: request.customerId,
+      retryAfterMs,
+      afterMs: Math.round(nowMs - request.arrivedAtMs),
+    };
     return [
       ...ended,
-      ...this.#refuseAtOnce(request.requestId, kind, {retryAfterMs, outcome: told}),
+      ...this.#refuseAtOnce(requestId, kind, {retryAfterMs, outcome: told}),
+      {type: 'log', level: 'warn', event: 'request.refused', fields},
     ];
   }
 
--- a/packages/core/src/request/retryBudgets.ts
+++ b/packages/core/src/request/retryBudgets.ts
@@ -1,8 +1,6 @@
 import {RetryBudget} from './retryBudget.ts';
 import type {RetryBudgetOptions} from './retryBudget.ts';
-
-/** Why a request is sent again: the server failed it, did not take it, or was not reached at all. */
-export type RetryCause = 'failure' | 'shed' | 'unreachable';
+import type {RetryCause, RetryGuard} from './retryGuard.ts';
 
 export type RetryBudgetsOptions = Readonly<Record<RetryCause, RetryBudgetOptions>>;
 
@@ -13,7 +11,7 @@
 };
 
 /** One budget for each cause, so that sheds do not use up what failures may cost, nor the reverse. */
-export class RetryBudgets {
+export class RetryBudgets implements RetryGuard {
   readonly #budgets: Readonly<Record<RetryCause, RetryBudget>>;
 
   constructor({failure, shed, unreachable}: RetryBudgetsOptions = DEFAULT_RETRY_BUDGETS_OPTIONS) {
--- a/packages/core/src/request/startAttempt.ts
+++ b/packages/core/src/request/startAttempt.ts
@@ -1,18 +1,24 @@
 import type {StartAttempt} from '../messages/requestMessages.ts';
-import type {RequestState} from './requestState.ts';
+import type {GrantedServer, RequestState} from './requestState.ts';
 
 /** Begins the next attempt of a request on the server that it was given. */
-export function startAttempt(request: RequestState, nowMs: number): StartAttempt {
+export function startAttempt(
+  request: RequestState,
+  granted: GrantedServer,
+  nowMs: number,
+): StartAttempt {
   request.phase = 'attempt';
   request.attempt += 1;
-  request.attemptStartedAtMs = nowMs;
-  request.headLatencyMs = undefined;
+  request.granted = undefined;
+  request.isSecondWanted = false;
+  const {attempt} = request;
+  request.running.set(attempt, {...granted, attempt, startedAtMs: nowMs, headLatencyMs: undefined});
   return {
     type: 'startAttempt',
     requestId: request.requestId,
-    attempt: request.attempt,
-    serverId: request.serverId ?? '',
-    origin: request.origin ?? '',
+    attempt,
+    serverId: granted.serverId,
+    origin: granted.origin,
     timeoutMs: request.deadlineAtMs - nowMs,
     customerId: request.customerId,
     notRunHeader: request.backend.notRunHeader,
--- a/packages/document/src/checkDocument.ts
+++ b/packages/document/src/checkDocument.ts
@@ -91,16 +91,25 @@
   return faults;
 }
 
+function missingBackend(path: string, backend: string): Fault {
+  return {
+    path,
+    value: renderValue(backend),
+    message: `backend "${backend}" does not exist; add it to backends or correct the name`,
+  };
+}
+
 function routeFaults(document: FleetDocument): Fault[] {
   const faults: Fault[] = [];
   const backends = new Set(document.backends.map(({id}) => id));
   for (const [index, route] of document.routes.entries()) {
     if (!backends.has(route.backend)) {
-      faults.push({
-        path: `routes.${index}.backend`,
-        value: renderValue(route.backend),
-        message: `backend "${route.backend}" does not exist; add it to backends or correct the name`,
-      });
+      faults.push(missingBackend(`routes.${index}.backend`, route.backend));
+    }
+    for (const [partIndex, {backend}] of (route.split ?? []).entries()) {
+      if (!backends.has(backend)) {
+        faults.push(missingBackend(`routes.${index}.split.${partIndex}.backend`, backend));
+      }
     }
   }
   return faults;
--- a/packages/document/src/documentSchema.ts
+++ b/packages/document/src/documentSchema.ts
@@ -25,6 +25,10 @@
   id: idSchema,
   /** Sustained rate over the whole fleet, in requests per second. */
   ratePerSecond: z.number().positive('must be above 0; remove the customer to stop it'),
+  /** True where neither rate nor burst bounds the customer. Default: false. */
+  isUnlimited: z.boolean().optional(),
+  /** Rank of the customer's requests in place of the route's, 0 for the most urgent. Default: the route's. */
+  priority: z.number().int().min(0).optional(),
   /** Requests that may come at once over the whole fleet. */
   burstRequests: z.number().int().min(1, 'must be at least 1, or no request can ever pass'),
   /** SHA-256 digests of the customer's keys, in hex. */
@@ -50,9 +54,13 @@
   serversByDataCentre: z.record(idSchema, z.number().int().min(0)).default({}),
 });
 
-const backendSchema = z.strictObject({
+const backendFieldsSchema = z.strictObject({
   id: idSchema,
-  servers: z.array(backendServerSchema).min(1, 'must list at least one backend server'),
+  servers: z.array(backendServerSchema),
+  /** True where the servers register themselves and are not listed here. Default: false. */
+  isDiscovered: z.boolean().optional(),
+  /** Requests a second that one cold server bears. Default: not bounded. */
+  coldRequestsPerSecond: z.number().positive().optional(),
   /** Requests that one server works on at once. Default: 2. */
   slotsPerServer: z.number().int().min(1).default(2),
   /** Connections that one server bears from the whole fleet. Default: 400. */
@@ -66,6 +74,11 @@
   warmUpMs: z.number().int().min(0).default(10_000),
 });
 
+const backendSchema = backendFieldsSchema.refine(
+  ({servers, isDiscovered}) => servers.length > 0 || isDiscovered === true,
+  {path: ['servers'], error: 'must list at least one backend server'},
+);
+
 const routeSchema = z.strictObject({
   id: idSchema,
   /** Host name without port; `*` takes any. Default: `*`. */
@@ -78,12 +91,31 @@
   openToAll: z.boolean().default(false),
   /** Whether a request may run twice without harm. Default: by method, as RFC 9110 says. */
   idempotent: z.enum(['by-method', 'yes', 'no']).default('by-method'),
+  /** Backends among which requests are divided by weight, in place of `backend`. Default: none. */
+  split: z.array(z.strictObject({backend: idSchema, weight: z.number().min(0)})).optional(),
+  /** Servers to which one request may be sent. Default: 3. */
+  maxAttempts: z.number().int().min(1).optional(),
+  /** Time within which an answer serves the caller fully, in ms. Default: none. */
+  targetLatencyMs: z.number().int().min(1).optional(),
+  /** Rank of the work, 0 for the most urgent. Default: 0. */
+  priority: z.number().int().min(0).optional(),
   /** Longest time from arrival to the whole answer, in ms. Default: 30,000. */
   timeoutMs: z.number().int().min(1).default(30_000),
   /** Largest request body taken, in bytes. Default: 1 GiB. */
   maxBodyBytes: z.number().int().min(0).default(1_073_741_824),
 });
 
+const callerLimitsSchema = z.strictObject({
+  /** Largest request head, in bytes. */
+  maxHeadBytes: z.number().int().min(1_024),
+  /** Largest request body, in bytes. */
+  maxBodyBytes: z.number().int().min(0),
+  /** Longest wait for the head of a request, in ms. */
+  headTimeoutMs: z.number().int().min(1),
+  /** Longest wait on an idle connection, in ms. */
+  idleTimeoutMs: z.number().int().min(1),
+});
+
 /** Shape of the one document that operators publish. */
 export const documentSchema = z.strictObject({
   formatVersion: z.literal(1),
@@ -96,6 +128,8 @@
   /** When the change was made, ISO 8601 in UTC. */
   madeAt: z.iso.datetime(),
   dataCentres: z.array(dataCentreSchema).min(1),
+  /** What a caller may send. Default: as the settings of each host say. */
+  callerLimits: callerLimitsSchema.optional(),
   customers: z.array(customerSchema),
   backends: z.array(backendSchema),
   routes: z.array(routeSchema),
@@ -106,4 +140,5 @@
 export type Customer = FleetDocument['customers'][number];
 export type Backend = FleetDocument['backends'][number];
 export type BackendServer = Backend['servers'][number];
+export type CallerLimits = z.infer<typeof callerLimitsSchema>;
 export type Route = FleetDocument['routes'][number];
--- a/packages/document/src/index.ts
+++ b/packages/document/src/index.ts
@@ -3,6 +3,7 @@
 export type {
   Backend,
   BackendServer,
+  CallerLimits,
   Customer,
   DataCentre,
   FleetDocument,
@@ -13,6 +14,8 @@
 export {formatFault} from './fault.ts';
 export {manifestSchema, hostListSchema} from './publishedSchemas.ts';
 export type {HostList, ListedHost, Manifest, ManifestPart} from './publishedSchemas.ts';
+export {discoveredServerSchema, registryChangeSchema} from './registrySchemas.ts';
+export type {DiscoveredServer, RegistryChange} from './registrySchemas.ts';
 export {splitDocument} from './splitDocument.ts';
 export type {DigestFunction, SplitDocument} from './splitDocument.ts';
 export {joinDocument} from './joinDocument.ts';
