Adapter for the users' platform: settings, store, dialect, and a host that uses it

Cause: nothing of the product spoke to the platform. Change: platform/ decodes the platform's settings, store entries and headers; FleetHost composes the new core tasks with sockets; callers and servers are spelled by an HttpDialect; servers get one client a connection.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -20,7 +20,7 @@
 ];
 
 export default tseslint.config(
-  {ignores: ['**/node_modules/**', 'dist/**', 'scripts/**', '*.js']},
+  {ignores: ['**/node_modules/**', 'dist/**', 'target/**', 'scripts/**', '*.js']},
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
   {
--- a/packages/cli/src/commands/consoleCommand.ts
+++ b/packages/cli/src/commands/consoleCommand.ts
@@ -1,7 +1,7 @@
 import {ConsoleTask} from '@godwitspring/console';
 import {HttpPlatform, splitAddress} from '@godwitspring/proxy';
 import {Command, Option} from 'clipanion';
-import {untilStopped} from '../untilStopped.ts';
+import {untilStopped} from '@godwitspring/proxy';
 
 /** Runs the operators' console. */
 export class ConsoleCommand extends Command {
--- a/packages/cli/src/commands/proxyCommand.ts
+++ b/packages/cli/src/commands/proxyCommand.ts
@@ -2,7 +2,7 @@
 import {formatFault, parseSettings} from '@godwitspring/document';
 import {ProxyHost, createLog, loadXxHash} from '@godwitspring/proxy';
 import {Command, Option} from 'clipanion';
-import {untilStopped} from '../untilStopped.ts';
+import {untilStopped} from '@godwitspring/proxy';
 
 /** Runs one host of the fleet. */
 export class ProxyCommand extends Command {
--- a/packages/cli/src/commands/standinBackendServerCommand.ts
+++ b/packages/cli/src/commands/standinBackendServerCommand.ts
@@ -3,7 +3,7 @@
 import {splitAddress} from '@godwitspring/proxy';
 import {BackendServerStandin} from '@godwitspring/standins';
 import {Command, Option} from 'clipanion';
-import {untilStopped} from '../untilStopped.ts';
+import {untilStopped} from '@godwitspring/proxy';
 
 /** Runs stand-ins of backend servers. */
 export class StandinBackendServerCommand extends Command {
--- a/packages/cli/src/commands/standinPlatformCommand.ts
+++ b/packages/cli/src/commands/standinPlatformCommand.ts
@@ -4,7 +4,7 @@
 import {splitAddress} from '@godwitspring/proxy';
 import {PlatformStandin} from '@godwitspring/standins';
 import {Command, Option} from 'clipanion';
-import {untilStopped} from '../untilStopped.ts';
+import {untilStopped} from '@godwitspring/proxy';
 
 /** Runs the stand-in of the platform. */
 export class StandinPlatformCommand extends Command {
--- a/packages/cli/src/createCli.ts
+++ b/packages/cli/src/createCli.ts
@@ -1,3 +1,4 @@
+import {PlatformHostCommand} from '@godwitspring/platform';
 import {Builtins, Cli} from 'clipanion';
 import {ConsoleCommand} from './commands/consoleCommand.ts';
 import {CheckCommand} from './commands/checkCommand.ts';
@@ -19,6 +20,7 @@
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
   cli.register(ProxyCommand);
+  cli.register(PlatformHostCommand);
   cli.register(CheckCommand);
   cli.register(ConsoleCommand);
   cli.register(StatusCommand);
--- a/packages/core/src/host/hostCore.ts
+++ b/packages/core/src/host/hostCore.ts
@@ -44,6 +44,8 @@
   readonly keeper: Partial<KeeperOptions>;
   /** How often and when requests are sent again. */
   readonly request: Partial<RequestTaskOptions>;
+  /** All tasks, in place of those for a published list of hosts. Default: none. */
+  readonly tasks: readonly CoreTask[] | undefined;
 }
 
 export type RequiredHostCoreOptions = Pick<
@@ -75,33 +77,36 @@
     request = {},
     allowanceTasks,
     healthTasks,
+    tasks,
   }: Partial<HostCoreOptions> & RequiredHostCoreOptions) {
     this.#selfId = selfId;
     const firstNonce = 1 + random.below(nonceSpace);
     const common = {selfId, hash, bounds, firstNonce};
-    this.#router = new MessageRouter([
-      new ConfigurationTask({random}),
-      new MembershipTask({selfId, random, bounds, firstNonce}),
-      ...(allowanceTasks ?? [
-        new LenderTask({...common, allowanceClass: 'rates'}),
-        new HomeTask(common),
-        new EntryTask(common),
-      ]),
-      ...(healthTasks ?? [
-        new LenderTask({...common, allowanceClass: 'ejections'}),
-        new HealthHomeTask(common),
-        new HealthEntryTask(common),
-      ]),
-      new KeeperTask({selfId, hash, ...keeper}),
-      new ClaimTask({selfId, hash, firstNonce}),
-      new CrashTask({selfId, hash}),
-      ...(hasFleetSlots ? [new SlotHomeTask({selfId, hash, random, firstNonce})] : []),
-      new ServerPoolTask({
-        choice,
-        slots: hasFleetSlots ? new FleetSlots({selfId, hash, firstNonce}) : undefined,
-      }),
-      new RequestTask(request),
-    ]);
+    this.#router = new MessageRouter(
+      tasks ?? [
+        new ConfigurationTask({random}),
+        new MembershipTask({selfId, random, bounds, firstNonce}),
+        ...(allowanceTasks ?? [
+          new LenderTask({...common, allowanceClass: 'rates'}),
+          new HomeTask(common),
+          new EntryTask(common),
+        ]),
+        ...(healthTasks ?? [
+          new LenderTask({...common, allowanceClass: 'ejections'}),
+          new HealthHomeTask(common),
+          new HealthEntryTask(common),
+        ]),
+        new KeeperTask({selfId, hash, ...keeper}),
+        new ClaimTask({selfId, hash, firstNonce}),
+        new CrashTask({selfId, hash}),
+        ...(hasFleetSlots ? [new SlotHomeTask({selfId, hash, random, firstNonce})] : []),
+        new ServerPoolTask({
+          choice,
+          slots: hasFleetSlots ? new FleetSlots({selfId, hash, firstNonce}) : undefined,
+        }),
+        new RequestTask(request),
+      ],
+    );
   }
 
   /** Takes one event at a moment of the host's own clock, in ms. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,10 @@
 /** Decisions of a host, without input or output. */
 export {HostCore} from './host/hostCore.ts';
 export type {HostCoreOptions, RequiredHostCoreOptions} from './host/hostCore.ts';
+export {createSelfFoundCore} from './host/selfFoundCore.ts';
+export type {SelfFoundCoreOptions} from './host/selfFoundCore.ts';
+export {fleetBoundsSchema, DEFAULT_FLEET_BOUNDS} from './fleet/fleetBounds.ts';
+export type {FleetBounds} from './fleet/fleetBounds.ts';
 export type {CoreTask} from './host/coreTask.ts';
 export {hostEventSchema, hostEffectSchema, taskMessageSchema} from './messages/coreMessage.ts';
 export type {CoreMessage, HostEffect, HostEvent, TaskMessage} from './messages/coreMessage.ts';
--- a/packages/core/src/messages/coreMessage.ts
+++ b/packages/core/src/messages/coreMessage.ts
@@ -35,6 +35,7 @@
   request.replayAnswerSchema,
   host.readPartSchema,
   host.watchRegistrySchema,
+  host.limitCallersSchema,
   host.sendToPeerSchema,
   host.linkPeersSchema,
   host.timerWantedSchema,
--- a/packages/core/src/messages/hostMessages.ts
+++ b/packages/core/src/messages/hostMessages.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {
+  callerLimitsSchema,
   discoveredServerSchema,
   documentSchema,
   hostListSchema,
@@ -178,6 +179,8 @@
 export const watchRegistrySchema = z.object({
   type: z.literal('watchRegistry'),
   isWanted: z.boolean(),
+  /** Revision that the core knows already; 0 for nothing. */
+  afterRevision: z.number().int(),
 });
 
 /** The backend servers that a host knows of. */
@@ -212,3 +215,9 @@
 export type ServersKnown = z.infer<typeof serversKnownSchema>;
 export type RosterChanged = z.infer<typeof rosterChangedSchema>;
 export type LiveHost = RosterChanged['live'][number];
+
+/** What callers may send by the document in force. */
+export const limitCallersSchema = z.object({
+  type: z.literal('limitCallers'),
+  limits: callerLimitsSchema,
+});
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -398,7 +398,6 @@
   secondAfterMs: z.number().min(0).optional(),
 });
 
-
 /** A granted attempt ended, or was never started. */
 export const placeEndedSchema = z.object({
   type: z.literal('placeEnded'),
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -216,8 +216,7 @@
   /** Forgets attempts whose host is gone or whose end was lost on the way. */
   forgetLost(isAlive: (hostId: string) => boolean, nowMs: number): void {
     for (const [key, attempt] of this.#placed) {
-      const isLost =
-        !isAlive(attempt.hostId) || nowMs - attempt.startedAtMs > forgottenAfterMs;
+      const isLost = !isAlive(attempt.hostId) || nowMs - attempt.startedAtMs > forgottenAfterMs;
       if (isLost) {
         this.#placed.delete(key);
         this.#trusts.get(attempt.serverId)?.running.delete(key);
--- a/packages/core/src/placement/serverTrust.ts
+++ b/packages/core/src/placement/serverTrust.ts
@@ -89,12 +89,7 @@
   }
 
   /** Takes the end of an attempt; `shareAbove` tells how unusual its length is. */
-  end(
-    attempt: RunningAttempt,
-    outcome: WorkOutcome,
-    nowMs: number,
-    shareAbove: ShareAbove,
-  ): void {
+  end(attempt: RunningAttempt, outcome: WorkOutcome, nowMs: number, shareAbove: ShareAbove): void {
     if (outcome === 'ok') {
       this.#prove(attempt.startedAtMs, nowMs);
       return;
--- a/packages/core/src/placement/surestServer.ts
+++ b/packages/core/src/placement/surestServer.ts
@@ -30,8 +30,7 @@
     for (const candidate of candidates) {
       const cost = this.#cost(candidate, isSpread);
       const isBetter =
-        cost < bestCost ||
-        (cost === bestCost && candidate.lastStartMs < (best?.lastStartMs ?? 0));
+        cost < bestCost || (cost === bestCost && candidate.lastStartMs < (best?.lastStartMs ?? 0));
       if (isBetter) {
         best = candidate;
         bestCost = cost;
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -138,7 +138,12 @@
     if (!this.#mayStart(nowMs)) {
       return [timer];
     }
-    return [timer, ...this.#pursue(nowMs), ...this.#tellServersWhenLapsed(nowMs), ...this.#tellStale(nowMs)];
+    return [
+      timer,
+      ...this.#pursue(nowMs),
+      ...this.#tellServersWhenLapsed(nowMs),
+      ...this.#tellStale(nowMs),
+    ];
   }
 
   /** A fresh process first listens for others, so that a fleet that starts does not read as one. */
@@ -179,7 +184,12 @@
     this.#nextNonce += 1;
     this.#pendingAsk = {nonce, askedAtMs: nowMs};
     const documentVersion = this.#view.document?.version ?? 0;
-    const message = {type: 'registryAsk' as const, nonce, documentVersion, revision: this.#view.revision};
+    const message = {
+      type: 'registryAsk' as const,
+      nonce,
+      documentVersion,
+      revision: this.#view.revision,
+    };
     return [{type: 'sendToPeer', toHostId: this.#sources.current, message}];
   }
 
@@ -188,7 +198,7 @@
       return [];
     }
     this.#isWatching = isWanted;
-    return [{type: 'watchRegistry', isWanted}];
+    return [{type: 'watchRegistry', isWanted, afterRevision: this.#view.revision}];
   }
 
   #onSourceFailed(reason: string, nowMs: number): readonly CoreMessage[] {
@@ -197,7 +207,12 @@
     this.#firstRetryAtMs = nowMs + retryFirstMs;
     const pauseMs = this.#sources.isReader ? readerPauseMs : followerPauseMs;
     this.#nextAskAtMs = hasTriedAll ? nowMs + pauseMs : nowMs;
-    const fields = {failed, reason, next: this.#sources.current, ageMs: Math.round(nowMs - this.#confirmedAtMs)};
+    const fields = {
+      failed,
+      reason,
+      next: this.#sources.current,
+      ageMs: Math.round(nowMs - this.#confirmedAtMs),
+    };
     const log: CoreMessage = {type: 'log', level: 'warn', event: 'registry.sourceFailed', fields};
     const count: CoreMessage = {type: 'count', name: 'registry.sourceFailed', tags: {}};
     return [log, count, ...(hasTriedAll ? this.#watch(false) : this.#pursue(nowMs))];
@@ -331,9 +346,7 @@
 
   #tellFresh(): readonly CoreMessage[] {
     const {bounds, marginMs} = this.#options;
-    return [
-      {type: 'freshUntil', untilMs: this.#confirmedAtMs + bounds.keyWithdrawalMs - marginMs},
-    ];
+    return [{type: 'freshUntil', untilMs: this.#confirmedAtMs + bounds.keyWithdrawalMs - marginMs}];
   }
 
   #tellStale(nowMs: number): readonly CoreMessage[] {
--- a/packages/core/src/registry/registryView.ts
+++ b/packages/core/src/registry/registryView.ts
@@ -66,7 +66,11 @@
 
   /** Applies changes up to a revision; true where anything but the document changed. */
   apply(
-    {isWhole, revision, changes}: {isWhole: boolean; revision: number; changes: readonly RegistryChange[]},
+    {
+      isWhole,
+      revision,
+      changes,
+    }: {isWhole: boolean; revision: number; changes: readonly RegistryChange[]},
     nowMs: number,
   ): boolean {
     for (const change of changes) {
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -189,7 +189,8 @@
 
   #onDocument(document: FleetDocument): readonly CoreMessage[] {
     this.#index = new DocumentIndex(document);
-    return [];
+    const {callerLimits} = document;
+    return callerLimits === undefined ? [] : [{type: 'limitCallers', limits: callerLimits}];
   }
 
   #onArrived(message: RequestArrived, nowMs: number): readonly CoreMessage[] {
@@ -265,11 +266,7 @@
     };
   }
 
-  #onServer(
-    request: RequestState,
-    granted: GrantedServer,
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  #onServer(request: RequestState, granted: GrantedServer, nowMs: number): readonly CoreMessage[] {
     if (request.phase === 'attempt' && request.isSecondWanted) {
       return this.#start(request, granted, nowMs);
     }
--- a/packages/document/src/documentSchema.ts
+++ b/packages/document/src/documentSchema.ts
@@ -105,7 +105,7 @@
   maxBodyBytes: z.number().int().min(0).default(1_073_741_824),
 });
 
-const callerLimitsSchema = z.strictObject({
+export const callerLimitsSchema = z.strictObject({
   /** Largest request head, in bytes. */
   maxHeadBytes: z.number().int().min(1_024),
   /** Largest request body, in bytes. */
--- a/packages/document/src/index.ts
+++ b/packages/document/src/index.ts
@@ -1,5 +1,5 @@
 /** The published document, its parts, and the settings of a host: schemas, types and checks. */
-export {documentSchema} from './documentSchema.ts';
+export {callerLimitsSchema, documentSchema} from './documentSchema.ts';
 export type {
   Backend,
   BackendServer,
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -19,9 +19,9 @@
 import {AnswerKeeper} from './answerKeeper.ts';
 import {BodyGuard} from './bodyGuard.ts';
 import type {Exchange, PendingAnswer} from './exchange.ts';
-import {customerHeader, deadlineHeader, endToEndHeaders, requestIdHeader} from './headers.ts';
-import {problemBody, problemContentType} from './problemBody.ts';
-import {announcedBytes, budgetMs, keyDigest, requestDigest, singleHeader} from './requestHead.ts';
+import type {HttpDialect} from '../dialect/httpDialect.ts';
+import {endToEndHeaders} from './headers.ts';
+import {announcedBytes, requestDigest} from './requestHead.ts';
 import {readRequestTarget} from './requestTarget.ts';
 import {readSmallBody} from './readSmallBody.ts';
 import {writeProblem} from './writeProblem.ts';
@@ -43,7 +43,10 @@
   readonly selfId: string;
   readonly listenHost: string;
   readonly listenPort: number;
-  readonly keyHeader: string;
+  /** How callers and servers spell requests and refusals. */
+  readonly dialect: HttpDialect;
+  /** Bodies up to this size are kept until the answer, so that they can be sent again, in bytes. Default: 65,536. */
+  readonly maxReplayableBytes: number;
   readonly maxHeadBytes: number;
   readonly headTimeoutMs: number;
   readonly idleTimeoutMs: number;
@@ -54,8 +57,9 @@
   readonly count: (name: string, tags?: Record<string, string>) => void;
 }
 
-/** Bodies up to this size are kept until the answer, so that they can be sent again, in bytes. */
-const maxReplayableBytes = 65_536;
+export const DEFAULT_CALLER_TASK_OPTIONS = {maxReplayableBytes: 65_536} as const;
+
+type RequiredCallerTaskOptions = Omit<CallerTaskOptions, keyof typeof DEFAULT_CALLER_TASK_OPTIONS>;
 
 /** Owns the sockets to callers: reads requests, sends answers and refusals. */
 export class CallerTask {
@@ -67,9 +71,29 @@
   #server: Server | undefined;
   #nextRequestId = 1;
   #onIdle: (() => void) | undefined;
+  #isClosing = false;
+
+  constructor(options: Partial<CallerTaskOptions> & RequiredCallerTaskOptions) {
+    this.#options = {...DEFAULT_CALLER_TASK_OPTIONS, ...options};
+  }
 
-  constructor(options: CallerTaskOptions) {
-    this.#options = options;
+  /** Takes over how long an idle connection is kept and how long a head may take, in ms. */
+  setTimeouts({
+    idleTimeoutMs,
+    headTimeoutMs,
+  }: {
+    idleTimeoutMs: number;
+    headTimeoutMs: number;
+  }): void {
+    if (this.#server !== undefined) {
+      this.#server.keepAliveTimeout = idleTimeoutMs;
+      this.#server.headersTimeout = headTimeoutMs;
+    }
+  }
+
+  /** Asks callers to close their connections after the answer that they wait for. */
+  closeAfterAnswers(): void {
+    this.#isClosing = true;
   }
 
   post(command: CallerCommand): void {
@@ -101,6 +125,10 @@
     await listenOn(server, {listenHost, listenPort});
   }
 
+  get #nameHeader(): string {
+    return this.#options.dialect.requestNameHeader;
+  }
+
   get inProgress(): number {
     return this.#exchanges.size;
   }
@@ -125,8 +153,12 @@
   async #onRequest(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     const requestId = this.#nextRequestId;
     this.#nextRequestId += 1;
-    const publicId = `${this.#options.selfId}-${requestId}`;
-    const target = readRequestTarget(incoming.url ?? '', incoming.headers.host);
+    const {dialect, maxReplayableBytes} = this.#options;
+    if (this.#isClosing) {
+      outgoing.shouldKeepAlive = false;
+    }
+    const publicId = dialect.requestName(incoming, `${this.#options.selfId}-${requestId}`);
+    const target = readRequestTarget(incoming.url ?? '', incoming.headers.host, dialect);
     if (target.isErr()) {
       this.#refuseRaw(incoming, outgoing, 'malformed-request', publicId, target.error);
       return;
@@ -147,7 +179,7 @@
       pathAndQuery,
       bufferedBody,
       hasStreamedBody: !isSmall,
-      answer: undefined,
+      answers: new Map(),
       arrivedAtMs,
     });
     outgoing.once('close', () => {
@@ -159,12 +191,13 @@
       host,
       path,
       method: incoming.method ?? 'GET',
-      keyDigest: keyDigest(incoming, this.#options.keyHeader),
-      idempotencyKey: singleHeader(incoming, 'idempotency-key'),
+      keyDigest: dialect.keyDigest(incoming),
+      idempotencyKey: dialect.idempotencyKey(incoming),
       bodyBytes,
       isReplayable: isSmall,
-      budgetMs: budgetMs(incoming),
+      budgetMs: dialect.budgetMs(incoming),
       requestDigest: requestDigest(incoming, bufferedBody),
+      requestName: publicId,
     });
   }
 
@@ -196,7 +229,7 @@
         this.#startAttempt(exchange, command);
         return;
       case 'answerArrived':
-        exchange.answer = command.answer;
+        exchange.answers.set(command.answer.attempt, command.answer);
         return;
       case 'discardAnswer':
         this.#discard(exchange, command.attempt);
@@ -215,20 +248,13 @@
 
   #startAttempt(exchange: Exchange, command: StartAttempt): void {
     const {incoming, publicId, pathAndQuery, bufferedBody, hasStreamedBody} = exchange;
-    const attemptName = `${publicId}.${command.attempt}`;
-    const dropped = [
-      this.#options.keyHeader,
-      customerHeader,
-      requestIdHeader,
-      deadlineHeader,
-      'expect',
-    ];
-    const headers = endToEndHeaders(incoming.headers, dropped);
-    headers[requestIdHeader] = attemptName;
-    headers[deadlineHeader] = String(Math.max(0, Math.floor(command.timeoutMs)));
-    if (command.customerId !== undefined) {
-      headers[customerHeader] = command.customerId;
-    }
+    const {dialect} = this.#options;
+    const attemptName = dialect.attemptName(publicId, command.attempt);
+    const {serverId, timeoutMs, customerId} = command;
+    const headers = {
+      ...endToEndHeaders(incoming.headers, dialect.droppedHeaders),
+      ...dialect.attemptHeaders({attemptName, serverId, timeoutMs, customerId}),
+    };
     const body = hasStreamedBody ? this.#guarded(incoming, command.maxBodyBytes) : bufferedBody;
     this.#options.run({
       type: 'run',
@@ -256,18 +282,20 @@
   }
 
   #discard(exchange: Exchange, attempt: number): void {
-    if (exchange.answer?.attempt === attempt) {
-      exchange.answer.body.on('error', () => undefined).destroy();
-      exchange.answer = undefined;
-    }
+    exchange.answers
+      .get(attempt)
+      ?.body.on('error', () => undefined)
+      .destroy();
+    exchange.answers.delete(attempt);
   }
 
   async #deliver(exchange: Exchange, attempt: number): Promise<void> {
-    const {requestId, outgoing, publicId, answer} = exchange;
-    if (answer?.attempt !== attempt) {
+    const {requestId, outgoing, publicId} = exchange;
+    const answer = exchange.answers.get(attempt);
+    if (answer === undefined) {
       return;
     }
-    outgoing.writeHead(answer.status, {...answer.headers, [requestIdHeader]: publicId});
+    outgoing.writeHead(answer.status, {...answer.headers, [this.#nameHeader]: publicId});
     try {
       const keep = new AnswerKeeper(answer.status, answer.headers['content-type']);
       await (this.#mustKeep(exchange)
@@ -301,7 +329,7 @@
   ): void {
     this.#forget(requestId);
     const headers: Record<string, string> = {
-      [requestIdHeader]: publicId,
+      [this.#nameHeader]: publicId,
       'idempotent-replay': 'true',
     };
     if (contentType !== undefined) {
@@ -318,10 +346,13 @@
       outgoing.destroy();
       return;
     }
+    const {dialect, timers} = this.#options;
     writeProblem(incoming, outgoing, kind, {
+      dialect,
+      timers,
       outcome,
       retryAfterMs,
-      requestId: publicId,
+      requestName: publicId,
     });
   }
 
@@ -334,9 +365,12 @@
   ): void {
     this.#options.count('request.refused', {kind});
     if (!outgoing.destroyed) {
+      const {dialect, timers} = this.#options;
       writeProblem(incoming, outgoing, kind, {
+        dialect,
+        timers,
         outcome: 'not-run',
-        requestId,
+        requestName: requestId,
         detail,
       });
     }
@@ -364,10 +398,10 @@
     if (!socket.writable) {
       return;
     }
-    const problem = problemBody(kind);
-    const body = JSON.stringify(problem);
+    const {status, headers, body} = this.#options.dialect.refusal(kind, {});
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
     socket.end(
-      `HTTP/1.1 ${problem.status} Refused\r\ncontent-type: ${problemContentType}\r\n` +
+      `HTTP/1.1 ${status} Refused\r\n${lines.join('')}` +
         `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
     );
   }
--- a/packages/proxy/src/callers/exchange.ts
+++ b/packages/proxy/src/callers/exchange.ts
@@ -22,7 +22,8 @@
   readonly bufferedBody: Buffer | undefined;
   /** True where a body follows that is passed on as it comes. */
   readonly hasStreamedBody: boolean;
-  answer: PendingAnswer | undefined;
+  /** Answers that arrived and were neither handed on nor dropped, by attempt. */
+  readonly answers: Map<number, PendingAnswer>;
   /** Moment of arrival, in ms. */
   readonly arrivedAtMs: number;
 }
--- a/packages/proxy/src/callers/requestHead.ts
+++ b/packages/proxy/src/callers/requestHead.ts
@@ -1,6 +1,5 @@
 import {createHash} from 'node:crypto';
 import type {IncomingMessage} from 'node:http';
-import {deadlineHeader} from './headers.ts';
 
 const digestLength = 32;
 
@@ -18,14 +17,13 @@
   return typeof value === 'string' && value !== '' ? value : undefined;
 }
 
-/** SHA-256 of the key that a caller shows, in hex. */
-export function keyDigest(incoming: IncomingMessage, keyHeader: string): string | undefined {
-  const key = singleHeader(incoming, keyHeader);
+/** SHA-256 of a key, in hex. */
+export function digestOfKey(key: string | undefined): string | undefined {
   return key === undefined ? undefined : createHash('sha256').update(key).digest('hex');
 }
 
-/** Time that the caller gives, in ms. */
-export function budgetMs(incoming: IncomingMessage): number | undefined {
+/** Time that the caller gives in a header, in ms. */
+export function budgetMs(incoming: IncomingMessage, deadlineHeader: string): number | undefined {
   const given = Number(singleHeader(incoming, deadlineHeader) ?? Number.NaN);
   return Number.isFinite(given) && given >= 0 ? given : undefined;
 }
--- a/packages/proxy/src/callers/requestTarget.ts
+++ b/packages/proxy/src/callers/requestTarget.ts
@@ -15,11 +15,12 @@
  * Reads the target of a request; refuses paths that a server might read as another path.
  *
  * Dot segments, encoded slashes, backslashes and empty segments are refused, so that the route that was
- * checked is the one that the server sees.
+ * checked is the one that the server sees, unless paths are opaque.
  */
 export function readRequestTarget(
   url: string,
   hostHeader: string | undefined,
+  {isPathOpaque}: {readonly isPathOpaque: boolean},
 ): Result<RequestTarget, string> {
   if (hostHeader === undefined || !/^[a-z0-9.:[\]_-]+$/i.test(hostHeader)) {
     return err('the Host header is missing or malformed');
@@ -28,7 +29,7 @@
     return err('the request target must be a path');
   }
   const path = url.split('?', 1)[0] ?? '/';
-  if (ambiguousPath.test(path)) {
+  if (!isPathOpaque && ambiguousPath.test(path)) {
     return err('the path has dot segments, empty segments or encoded slashes');
   }
   const host = hostHeader.replace(/:\d+$/, '').toLowerCase();
--- a/packages/proxy/src/callers/writeProblem.ts
+++ b/packages/proxy/src/callers/writeProblem.ts
@@ -1,13 +1,44 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {ErrorKind, Outcome} from '@godwitspring/core';
-import {requestIdHeader} from './headers.ts';
-import {problemBody, problemContentType} from './problemBody.ts';
+import type {ErrorKind} from '@godwitspring/core';
+import type {HttpDialect, RefusalOptions} from '../dialect/httpDialect.ts';
+import type {TimerService} from '../timer/timerService.ts';
 
-export interface ProblemOptions {
-  readonly outcome: Outcome;
-  readonly requestId: string;
-  readonly retryAfterMs?: number | undefined;
-  readonly detail?: string | undefined;
+export interface WriteProblemOptions extends RefusalOptions {
+  readonly dialect: HttpDialect;
+  readonly timers: TimerService;
+}
+
+/** Bytes of an unread body that are read and dropped, so that the caller can read the refusal. */
+const lingerBytes = 1_048_576;
+/** Longest time for which the rest of an unread body is read and dropped, in ms. */
+const lingerMs = 1_000;
+
+/**
+ * Lets a caller that still sends its body read the refusal.
+ *
+ * A connection that is closed with bytes unread is reset, and the caller loses what it has not read. The
+ * rest of the body is dropped, within bounds, before the connection is closed.
+ */
+function linger(incoming: IncomingMessage, timers: TimerService): void {
+  let seenBytes = 0;
+  const end = timers.at(timers.nowMs() + lingerMs, () => {
+    incoming.destroy();
+  });
+  incoming.on('data', (chunk: Buffer) => {
+    seenBytes += chunk.length;
+    if (seenBytes > lingerBytes) {
+      incoming.destroy();
+    }
+  });
+  incoming.once('close', () => {
+    end.cancel();
+  });
+  incoming.once('end', () => {
+    end.cancel();
+  });
+  incoming.on('error', () => {
+    end.cancel();
+  });
 }
 
 /** Answers a caller with a refusal; closes the connection where the body was not read. */
@@ -15,24 +46,18 @@
   incoming: IncomingMessage,
   outgoing: ServerResponse,
   kind: ErrorKind,
-  options: ProblemOptions,
+  {dialect, timers, ...options}: WriteProblemOptions,
 ): void {
-  const problem = problemBody(kind, options);
-  const headers: Record<string, string> = {
-    'content-type': problemContentType,
-    [requestIdHeader]: options.requestId,
-  };
-  if (options.retryAfterMs !== undefined) {
-    headers['retry-after'] = String(Math.ceil(options.retryAfterMs / 1_000));
-  }
+  const {status, headers, body} = dialect.refusal(kind, options);
   const isBodyUnread = !incoming.complete;
+  const length = {'content-length': String(Buffer.byteLength(body))};
+  outgoing.writeHead(status, {
+    ...headers,
+    ...length,
+    ...(isBodyUnread ? {connection: 'close'} : {}),
+  });
+  outgoing.end(body);
   if (isBodyUnread) {
-    headers.connection = 'close';
+    linger(incoming, timers);
   }
-  outgoing.writeHead(problem.status, headers);
-  outgoing.end(JSON.stringify(problem), () => {
-    if (isBodyUnread) {
-      incoming.destroy();
-    }
-  });
 }
--- /dev/null
+++ b/packages/proxy/src/dialect/productDialect.ts
@@ -0,0 +1,83 @@
+import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+import type {ErrorKind} from '@godwitspring/core';
+import {customerHeader, deadlineHeader, requestIdHeader} from '../callers/headers.ts';
+import {problemBody, problemContentType} from '../callers/problemBody.ts';
+import {budgetMs, digestOfKey, singleHeader} from '../callers/requestHead.ts';
+import type {
+  AnswerVerdict,
+  AttemptHead,
+  HttpDialect,
+  Refusal,
+  RefusalOptions,
+} from './httpDialect.ts';
+
+export interface ProductDialectOptions {
+  /** Header that carries the customer's key, in lower case. */
+  readonly keyHeader: string;
+}
+
+/** The product's own headers, and refusals as problem details of RFC 9457. */
+export class ProductDialect implements HttpDialect {
+  readonly requestNameHeader = requestIdHeader;
+  readonly isPathOpaque = false;
+  readonly droppedHeaders: readonly string[];
+  readonly #keyHeader: string;
+
+  constructor({keyHeader}: ProductDialectOptions) {
+    this.#keyHeader = keyHeader;
+    this.droppedHeaders = [keyHeader, customerHeader, requestIdHeader, deadlineHeader, 'expect'];
+  }
+
+  keyDigest(incoming: IncomingMessage): string | undefined {
+    return digestOfKey(singleHeader(incoming, this.#keyHeader));
+  }
+
+  requestName(_incoming: IncomingMessage, ownName: string): string {
+    return ownName;
+  }
+
+  attemptName(requestName: string, attempt: number): string {
+    return `${requestName}.${attempt}`;
+  }
+
+  budgetMs(incoming: IncomingMessage): number | undefined {
+    return budgetMs(incoming, deadlineHeader);
+  }
+
+  idempotencyKey(incoming: IncomingMessage): string | undefined {
+    return singleHeader(incoming, 'idempotency-key');
+  }
+
+  attemptHeaders({attemptName, timeoutMs, customerId}: AttemptHead): Record<string, string> {
+    const headers: Record<string, string> = {
+      [requestIdHeader]: attemptName,
+      [deadlineHeader]: String(Math.max(0, Math.floor(timeoutMs))),
+    };
+    if (customerId !== undefined) {
+      headers[customerHeader] = customerId;
+    }
+    return headers;
+  }
+
+  judgeAnswer(status: number, headers: IncomingHttpHeaders, notRunHeader: string): AnswerVerdict {
+    const saidNotRun = status >= 500 && headers[notRunHeader] !== undefined;
+    return {saidNotRun, isMisdirected: false, isMalformed: false};
+  }
+
+  droppedAnswerHeaders(notRunHeader: string): readonly string[] {
+    return [requestIdHeader, notRunHeader];
+  }
+
+  refusal(kind: ErrorKind, options: RefusalOptions): Refusal {
+    const {requestName, retryAfterMs} = options;
+    const problem = problemBody(kind, {...options, requestId: requestName});
+    const headers: Record<string, string> = {'content-type': problemContentType};
+    if (requestName !== undefined) {
+      headers[requestIdHeader] = requestName;
+    }
+    if (retryAfterMs !== undefined) {
+      headers['retry-after'] = String(Math.ceil(retryAfterMs / 1_000));
+    }
+    return {status: problem.status, headers, body: JSON.stringify(problem)};
+  }
+}
--- a/packages/proxy/src/host/proxyHost.ts
+++ b/packages/proxy/src/host/proxyHost.ts
@@ -8,6 +8,7 @@
 import {BackendTask} from '../backends/backendTask.ts';
 import {CallerTask} from '../callers/callerTask.ts';
 import {MetricsTask} from '../metrics/metricsTask.ts';
+import {ProductDialect} from '../dialect/productDialect.ts';
 import {HttpPlatform} from '../platform/httpPlatform.ts';
 import {PlatformTask} from '../platform/platformTask.ts';
 import {SystemTimerService} from '../timer/systemTimerService.ts';
@@ -75,15 +76,19 @@
         this.#dispatch(effect);
       },
     });
+    const dialect = new ProductDialect(settings.callers);
     this.#backends = new BackendTask({
+      dialect,
       timers,
       tell,
       answer: (requestId, answer) => {
         this.#callers.post({type: 'answerArrived', requestId, answer});
       },
+      count,
     });
     this.#callers = new CallerTask({
       ...settings.callers,
+      dialect,
       selfId,
       ...this.#listen(settings.listen.callers),
       timers,
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -11,3 +11,15 @@
 export {SystemTimerService} from './timer/systemTimerService.ts';
 export type {Platform, HostListAnswer} from './platform/platform.ts';
 export {HttpPlatform} from './platform/httpPlatform.ts';
+export {FleetHost} from './host/fleetHost.ts';
+export type {FleetHostAddresses, FleetHostOptions} from './host/fleetHost.ts';
+export type {
+  AnswerVerdict,
+  AttemptHead,
+  HttpDialect,
+  Refusal,
+  RefusalOptions,
+} from './dialect/httpDialect.ts';
+export {budgetMs, digestOfKey, singleHeader} from './callers/requestHead.ts';
+export type {RegistryReading, RegistrySource} from './registry/registrySource.ts';
+export {untilStopped} from './host/untilStopped.ts';
--- /dev/null
+++ b/packages/proxy/src/readiness/readinessTask.ts
@@ -0,0 +1,36 @@
+import type {Server} from 'node:http';
+import {createAdaptorServer} from '@hono/node-server';
+import {Hono} from 'hono';
+import {listenOn} from '../task/listenOn.ts';
+
+export interface ReadinessTaskOptions {
+  readonly listenHost: string;
+  readonly listenPort: number;
+  /** Path at which a load balancer asks. */
+  readonly path: string;
+  readonly isReady: () => boolean;
+}
+
+/** Owns the port at which a load balancer asks whether the host takes callers. */
+export class ReadinessTask {
+  readonly #options: ReadinessTaskOptions;
+  #server: Server | undefined;
+
+  constructor(options: ReadinessTaskOptions) {
+    this.#options = options;
+  }
+
+  async start(): Promise<void> {
+    const {listenHost, listenPort, path, isReady} = this.#options;
+    const app = new Hono();
+    app.get(path, (context) => context.body(null, isReady() ? 200 : 503));
+    const server = createAdaptorServer({fetch: app.fetch, overrideGlobalObjects: false}) as Server;
+    this.#server = server;
+    await listenOn(server, {listenHost, listenPort});
+  }
+
+  stop(): void {
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+  }
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,34 +1,13 @@
 // Builds dist/godwitspring: one executable with the bundle and the machine's own node.
 import {execFileSync} from 'node:child_process';
 import {chmodSync, copyFileSync, mkdirSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
-import {build} from 'esbuild';
 import {inject} from 'postject';
-
-/** Optional native add-ons: their users fall back when the module fails to load. */
-const withoutNativeAddOns = {
-  name: 'without-native-add-ons',
-  setup(bundle) {
-    const filter = /^(unix-dgram|msgpackr-extract|bufferutil|utf-8-validate)$/;
-    bundle.onResolve({filter}, ({path}) => ({path, namespace: 'absent'}));
-    bundle.onLoad({filter: /.*/, namespace: 'absent'}, ({path}) => ({
-      contents: `throw new Error('${path} is not part of this binary');`,
-    }));
-  },
-};
+import {bundle} from './bundle.mjs';
 
 const outFile = 'dist/godwitspring';
 rmSync('dist', {recursive: true, force: true});
 mkdirSync('dist');
-await build({
-  entryPoints: ['packages/cli/src/main.ts'],
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  outfile: 'dist/godwitspring.cjs',
-  plugins: [withoutNativeAddOns],
-  logLevel: 'warning',
-});
+await bundle({outFile: 'dist/godwitspring.cjs'});
 writeFileSync(
   'dist/sea.json',
   JSON.stringify({
