--- /dev/null
+++ b/packages/bench/src/__tests__/grayPlacement.test.ts
@@ -0,0 +1,188 @@
+import {loadXxHash} from '@godwitspring/proxy';
+import {DEFAULT_FLEET_BOUNDS} from '@godwitspring/core';
+import type {HashFunction} from '@godwitspring/core';
+import {expect} from 'chai';
+import {grayFleet, grayLoad, grayTurns, summarise} from '../gray/grayDays.ts';
+import type {GraySummary} from '../gray/grayDays.ts';
+import type {GrayFleet} from '../gray/grayFleet.ts';
+
+const settleMs = 8_000;
+const cycleMs = 12_000;
+
+let hash: HashFunction;
+
+function summaryOf(fleet: GrayFleet, routeId: string): GraySummary {
+  return summarise(fleet.outcomes.filter((outcome) => outcome.routeId === routeId));
+}
+
+/** Cuts every link between hosts, so that each decides alone. */
+function cutAll(fleet: GrayFleet): void {
+  for (const from of fleet.hosts.keys()) {
+    for (const to of fleet.hosts.keys()) {
+      if (from !== to) {
+        fleet.link.cut(from, to);
+      }
+    }
+  }
+}
+
+function silentByTurns({alone}: {alone: boolean}): GrayFleet {
+  const fleet = grayFleet(hash, {seed: 11});
+  fleet.queue.runUntil(settleMs);
+  if (alone) {
+    cutAll(fleet);
+  }
+  grayTurns(fleet, {mode: 'silent', share: 0.3, cycleMs, seed: 11});
+  fleet.queue.runUntil(settleMs + cycleMs);
+  grayLoad(fleet, {forMs: 20_000});
+  fleet.queue.runUntil(settleMs + cycleMs + 24_000);
+  return fleet;
+}
+
+describe('placing work while a third of the servers falls silent by turns', () => {
+  before(async () => {
+    hash = await loadXxHash();
+  });
+
+  it('loses less than half of the payments that hosts would lose alone', () => {
+    const together = summaryOf(silentByTurns({alone: false}), 'payment');
+    const alone = summaryOf(silentByTurns({alone: true}), 'payment');
+    expect(together.doubtfulShare).to.be.below(alone.doubtfulShare / 2);
+  });
+
+  it('answers lookups by a second attempt, within their target', () => {
+    const lookups = summaryOf(silentByTurns({alone: false}), 'lookup');
+    expect(lookups.servedShare).to.be.above(0.97);
+    expect(lookups.inTargetShare).to.be.above(0.95);
+  });
+
+  it('runs no payment twice', () => {
+    const fleet = silentByTurns({alone: false});
+    const lookups = new Set<string>();
+    for (const {fields, event} of fleet.logs) {
+      if (event === 'place.granted' && fields.isRepeatable === true) {
+        lookups.add(String(fields.requestName));
+      }
+    }
+    for (const [key, runs] of fleet.runsByRequest) {
+      const requestName = key.slice(key.indexOf('/') + 1);
+      if (!lookups.has(requestName)) {
+        expect(runs, `request ${requestName}`).to.equal(1);
+      }
+    }
+  });
+});
+
+describe('the home of a backend', () => {
+  before(async () => {
+    hash = await loadXxHash();
+  });
+
+  function withHome({dies}: {dies: boolean}): GraySummary {
+    const fleet = grayFleet(hash, {seed: 3, errorShare: 0});
+    fleet.queue.runUntil(settleMs);
+    grayLoad(fleet, {forMs: 8_000});
+    fleet.queue.runUntil(settleMs + 3_000);
+    const homeId = fleet.logs.findLast(({event}) => event === 'place.granted')?.hostId ?? '';
+    if (dies) {
+      fleet.crashHost(homeId);
+    }
+    fleet.queue.runUntil(settleMs + 14_000);
+    return summarise(fleet.outcomes);
+  }
+
+  it('is replaced when its host dies, and costs other callers nothing', () => {
+    const calm = withHome({dies: false});
+    const struck = withHome({dies: true});
+    expect(struck.servedShare).to.be.above(0.995);
+    expect(struck.inTargetShare).to.be.above(calm.inTargetShare - 0.01);
+  });
+
+  it('keeps every server within the rate that it bears cold', () => {
+    const fleet = grayFleet(hash, {seed: 4, backends: [{id: 'core', servers: 6}]});
+    fleet.queue.runUntil(settleMs);
+    grayLoad(fleet, {forMs: 10_000, perSecond: 60, mix: {lookup: 1}});
+    fleet.queue.runUntil(settleMs + 12_000);
+    const boundPerSecond = 4 * 1.5 + 5;
+    for (const [serverId, startsMs] of fleet.startsMs) {
+      for (const [index, startMs] of startsMs.entries()) {
+        const inSecond = startsMs.slice(index).filter((other) => other < startMs + 1_000).length;
+        expect(inSecond, serverId).to.be.at.most(boundPerSecond);
+      }
+    }
+  });
+});
+
+describe('more work than the servers bear', () => {
+  before(async () => {
+    hash = await loadXxHash();
+  });
+
+  function overload(): GrayFleet {
+    const fleet = grayFleet(hash, {seed: 6, backends: [{id: 'core', servers: 10}], errorShare: 0});
+    fleet.queue.runUntil(settleMs);
+    const mix = {lookup: 30, payment: 70};
+    grayLoad(fleet, {
+      forMs: 10_000,
+      perSecond: 100,
+      mix,
+      customers: {large: 1, medium: 1, small: 1},
+    });
+    fleet.queue.runUntil(settleMs + 14_000);
+    return fleet;
+  }
+
+  it('serves the urgent route first', () => {
+    const fleet = overload();
+    const payments = summaryOf(fleet, 'payment');
+    const lookups = summaryOf(fleet, 'lookup');
+    expect(payments.servedShare).to.be.above(lookups.servedShare);
+  });
+
+  it('refuses with a wait, and truly', () => {
+    const fleet = overload();
+    const refused = fleet.outcomes.filter(({refusal}) => refusal === 'overloaded');
+    expect(refused.length).to.be.above(0);
+    for (const {outcome, retryAfterMs} of refused) {
+      expect(outcome).to.equal('not-run');
+      expect(retryAfterMs).to.be.above(0);
+    }
+  });
+
+  it('does not let one customer at many times its usual push out a small one', () => {
+    const fleet = grayFleet(hash, {seed: 7, backends: [{id: 'core', servers: 10}], errorShare: 0});
+    fleet.queue.runUntil(settleMs);
+    const mix = {payment: 1};
+    grayLoad(fleet, {forMs: 10_000, perSecond: 100, mix, customers: {large: 9, small: 1}});
+    fleet.queue.runUntil(settleMs + 14_000);
+    const small = summarise(fleet.outcomes.filter(({customerId}) => customerId === 'small'));
+    expect(small.servedShare).to.be.above(0.9);
+  });
+});
+
+describe('repeats while half of the servers fail', () => {
+  before(async () => {
+    hash = await loadXxHash();
+  });
+
+  it('stay within the share of the requests that operators allow', () => {
+    const bounds = {
+      ...DEFAULT_FLEET_BOUNDS,
+      retryRatio: 0.2,
+      retrySlack: 10,
+      retryWindowMs: 10_000,
+    };
+    const fleet = grayFleet(hash, {seed: 8, bounds});
+    fleet.queue.runUntil(settleMs);
+    for (const server of fleet.servers.values()) {
+      server.mode = server.id.endsWith('1') ? 'well' : 'failing';
+    }
+    grayLoad(fleet, {forMs: 10_000, mix: {lookup: 1}});
+    fleet.queue.runUntil(settleMs + 10_000);
+    const repeats = fleet.logs.filter(
+      ({event, fields}) => event === 'place.granted' && fields.isRepeat === true,
+    );
+    const asked = fleet.runsByRequest.size;
+    expect(repeats.length).to.be.at.most(asked * 0.2 + 10);
+  });
+});
--- a/packages/core/src/fleet/fleetBounds.ts
+++ b/packages/core/src/fleet/fleetBounds.ts
@@ -18,6 +18,8 @@
   floorShare: z.number().min(0).max(1).default(0.7),
   /** Time after which the address of an ended server may belong to another one, in ms. Default: 2,000. */
   addressReuseMs: z.number().min(0).default(2_000),
+  /** Window in which a customer's requests are counted against rate and burst, in ms. Default: 5,000. */
+  rateWindowMs: z.number().positive().default(5_000),
   /** Share by which a customer's rate may be exceeded over the fleet. Default: 0.25. */
   rateOvershoot: z.number().min(0).default(0.25),
 });
--- /dev/null
+++ b/packages/core/src/fleet/heardPlaces.ts
@@ -0,0 +1,45 @@
+import type {LiveHost} from '../messages/hostMessages.ts';
+
+/** Time for which a message stands for the data centre that it came from, in ms. */
+const memoryMs = 3_000;
+
+/** From which data centres a host heard lately, by any message. */
+export class HeardPlaces {
+  readonly #heardAtMs = new Map<string, number>();
+  readonly #ownDataCentre: string;
+  #dataCentreByHost = new Map<string, string>();
+  #hostsByDataCentre = new Map<string, number>();
+
+  constructor(ownDataCentre: string) {
+    this.#ownDataCentre = ownDataCentre;
+  }
+
+  place(live: readonly LiveHost[]): void {
+    this.#dataCentreByHost = new Map(live.map(({hostId, dataCentre}) => [hostId, dataCentre]));
+    this.#hostsByDataCentre = new Map();
+    for (const {dataCentre} of live) {
+      const hosts = this.#hostsByDataCentre.get(dataCentre) ?? 0;
+      this.#hostsByDataCentre.set(dataCentre, hosts + 1);
+    }
+  }
+
+  note(hostId: string, nowMs: number): void {
+    const dataCentre = this.#dataCentreByHost.get(hostId);
+    if (dataCentre !== undefined) {
+      this.#heardAtMs.set(dataCentre, nowMs);
+    }
+  }
+
+  /** Part of the live hosts that stand in data centres heard of lately, 0 to 1. */
+  share(nowMs: number): number {
+    let heard = 0;
+    let all = 0;
+    for (const [dataCentre, hosts] of this.#hostsByDataCentre) {
+      all += hosts;
+      const heardAtMs = this.#heardAtMs.get(dataCentre) ?? Number.NEGATIVE_INFINITY;
+      const isHeard = dataCentre === this.#ownDataCentre || nowMs - heardAtMs <= memoryMs;
+      heard += isHeard ? hosts : 0;
+    }
+    return all === 0 ? 1 : heard / all;
+  }
+}
--- a/packages/core/src/host/selfFoundCore.ts
+++ b/packages/core/src/host/selfFoundCore.ts
@@ -34,8 +34,8 @@
     new RosterTask({selfId, dataCentre, bornMs, seedIds, random}),
     new RegistryTask({selfId, dataCentre, hash, bounds, firstNonce}),
     new PlacementHomeTask({selfId, bounds}),
-    new QuotaHomeTask({bounds}),
-    new QuotaEntryTask({hash, firstNonce}),
+    new QuotaHomeTask({selfId, dataCentre, hash, bounds}),
+    new QuotaEntryTask({hash, bounds, firstNonce}),
     new PlacementEntryTask({selfId, hash, random, firstNonce}),
     new RequestTask({retryGuard: new HomeRetryGuard(), isFreshnessForAll: false, random}),
   ];
--- a/packages/core/src/messages/coreMessage.ts
+++ b/packages/core/src/messages/coreMessage.ts
@@ -22,6 +22,7 @@
   host.registryReadSchema,
   host.registryUnreadableSchema,
   host.leavingSoonSchema,
+  host.peerAbsentSchema,
   request.serverConnectionsSchema,
 ]);
 
--- a/packages/core/src/messages/hostMessages.ts
+++ b/packages/core/src/messages/hostMessages.ts
@@ -221,3 +221,9 @@
   type: z.literal('limitCallers'),
   limits: callerLimitsSchema,
 });
+
+/** Nobody listens at the address of a host: its process is gone. */
+export const peerAbsentSchema = z.object({
+  type: z.literal('peerAbsent'),
+  hostId: z.string(),
+});
--- a/packages/core/src/placement/placementEntryTask.ts
+++ b/packages/core/src/placement/placementEntryTask.ts
@@ -2,7 +2,7 @@
 import {HomeFinder} from '../fleet/homeFinder.ts';
 import type {CoreTask} from '../host/coreTask.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
-import type {ServersKnown} from '../messages/hostMessages.ts';
+import type {LiveHost, ServersKnown} from '../messages/hostMessages.ts';
 import type {PeerMessage, PlaceAnswer, PlaceAsk} from '../messages/peerMessages.ts';
 import type {WorkOutcome} from '../messages/workOutcome.ts';
 import type {ServerReleased, ServerWanted} from '../messages/requestMessages.ts';
@@ -109,7 +109,7 @@
         return [];
       case 'rosterChanged':
         this.#finder.place(message.live);
-        return this.#moveGrants(nowMs);
+        return [...this.#moveAsks(message.live, nowMs), ...this.#moveGrants(nowMs)];
       case 'peerMessageReceived':
         return this.#onPeer(message.fromHostId, message.message, nowMs);
       case 'timerFired':
@@ -337,6 +337,19 @@
     ];
   }
 
+  /** Asks anew what was asked of a host that is gone. */
+  #moveAsks(live: readonly LiveHost[], nowMs: number): readonly CoreMessage[] {
+    const liveIds = new Set(live.map(({hostId}) => hostId));
+    const messages: CoreMessage[] = [];
+    for (const ask of [...this.#asks.values()]) {
+      if (!liveIds.has(ask.homeId)) {
+        this.#forget(ask);
+        messages.push(...this.#onWanted(ask.wanted, nowMs));
+      }
+    }
+    return messages;
+  }
+
   /** Tells homes that are new to a backend what this host runs there and saw lately. */
   #moveGrants(nowMs: number): readonly CoreMessage[] {
     const messages: CoreMessage[] = [];
--- /dev/null
+++ b/packages/core/src/quota/customerWindow.ts
@@ -0,0 +1,32 @@
+import type {Customer} from '@godwitspring/document';
+
+/**
+ * Requests of one customer in a sliding window, as its home counts them.
+ *
+ * In any window a customer may send its rate times the window and its burst beside. Moments are kept
+ * for as long as they count; there are never more of them than the window allows.
+ */
+export class CustomerWindow {
+  readonly #windowMs: number;
+  readonly #admittedAtMs: number[] = [];
+
+  constructor(windowMs: number) {
+    this.#windowMs = windowMs;
+  }
+
+  /** Admits one request; gives the time until the next has room where there is none, in ms. */
+  take(customer: Customer, fleetShare: number, nowMs: number): number {
+    const {ratePerSecond, burstRequests} = customer;
+    const allowed = ((ratePerSecond * this.#windowMs) / 1_000 + burstRequests) * fleetShare;
+    while ((this.#admittedAtMs[0] ?? nowMs) <= nowMs - this.#windowMs) {
+      this.#admittedAtMs.shift();
+    }
+    if (this.#admittedAtMs.length + 1 <= Math.max(1, allowed)) {
+      this.#admittedAtMs.push(nowMs);
+      return 0;
+    }
+    const over = Math.floor(this.#admittedAtMs.length - Math.max(1, allowed));
+    const freesAtMs = (this.#admittedAtMs[Math.max(0, over)] ?? nowMs) + this.#windowMs;
+    return Math.max(1, freesAtMs - nowMs);
+  }
+}
--- a/packages/core/src/quota/quotaEntryTask.ts
+++ b/packages/core/src/quota/quotaEntryTask.ts
@@ -1,13 +1,17 @@
 import type {Customer, FleetDocument} from '@godwitspring/document';
+import type {FleetBounds} from '../fleet/fleetBounds.ts';
 import {HomeFinder} from '../fleet/homeFinder.ts';
 import type {CoreTask} from '../host/coreTask.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
+import type {LiveHost} from '../messages/hostMessages.ts';
 import type {PeerMessage} from '../messages/peerMessages.ts';
 import type {HashFunction} from '../time/hashFunction.ts';
-import {CustomerBucket} from './customerBucket.ts';
+import {customerDuty} from './customerDuty.ts';
+import {CustomerWindow} from './customerWindow.ts';
 
 export interface QuotaEntryTaskOptions {
   readonly hash: HashFunction;
+  readonly bounds: FleetBounds;
   /** First number of asks; differs between processes at the same host. */
   readonly firstNonce: number;
   /** Longest wait for the home of a customer, in ms. Default: 120, twenty round trips between data centres. */
@@ -29,7 +33,6 @@
 const sweepMs = 40;
 /** Life of a permission: it is used as soon as a server is found, in ms. */
 const permitLifeMs = 10_000;
-const homePrefix = 'customer@';
 
 /** Asks the homes of customers for permission on behalf of the requests of this host. */
 export class QuotaEntryTask implements CoreTask {
@@ -49,14 +52,15 @@
   readonly #askByRequest = new Map<number, number>();
   readonly #verdicts = new Map<number, Verdict>();
   readonly #wanted = new Set<number>();
-  readonly #loneBuckets = new Map<string, CustomerBucket>();
+  readonly #loneWindows = new Map<string, CustomerWindow>();
   #customers = new Map<string, Customer>();
   #knownHosts = 1;
   #nextAskId: number;
   #isTimerSet = false;
 
   constructor(
-    options: Partial<QuotaEntryTaskOptions> & Pick<QuotaEntryTaskOptions, 'hash' | 'firstNonce'>,
+    options: Partial<QuotaEntryTaskOptions> &
+      Pick<QuotaEntryTaskOptions, 'hash' | 'bounds' | 'firstNonce'>,
   ) {
     this.#options = {...DEFAULT_QUOTA_ENTRY_OPTIONS, ...options};
     this.#finder = new HomeFinder(options.hash);
@@ -77,7 +81,7 @@
       case 'rosterChanged':
         this.#finder.place(message.live);
         this.#knownHosts = Math.max(1, message.knownCount);
-        return [];
+        return this.#moveAsks(message.live, nowMs);
       case 'peerMessageReceived':
         return this.#onPeer(message.fromHostId, message.message, nowMs);
       case 'timerFired':
@@ -106,7 +110,7 @@
     if (customer === undefined || customer.isUnlimited === true) {
       return this.#settle(requestId, {isGranted: true, retryAfterMs: undefined}, nowMs);
     }
-    const homeId = this.#finder.homeOf(homePrefix + customerId, nowMs);
+    const homeId = this.#finder.homeOf(customerDuty(customerId), nowMs);
     if (homeId === undefined) {
       return this.#decideAlone(requestId, customer, nowMs);
     }
@@ -120,12 +124,12 @@
 
   /** A host that no home answers uses its own part of the rate, as if all hosts did so at once. */
   #decideAlone(requestId: number, customer: Customer, nowMs: number): readonly CoreMessage[] {
-    let bucket = this.#loneBuckets.get(customer.id);
-    if (bucket === undefined) {
-      bucket = new CustomerBucket(customer, nowMs);
-      this.#loneBuckets.set(customer.id, bucket);
+    let window = this.#loneWindows.get(customer.id);
+    if (window === undefined) {
+      window = new CustomerWindow(this.#options.bounds.rateWindowMs);
+      this.#loneWindows.set(customer.id, window);
     }
-    const retryAfterMs = bucket.take(customer, 1 / this.#knownHosts, nowMs);
+    const retryAfterMs = window.take(customer, 1 / this.#knownHosts, nowMs);
     return this.#settle(requestId, {isGranted: retryAfterMs === 0, retryAfterMs}, nowMs);
   }
 
@@ -173,6 +177,20 @@
     }
   }
 
+  /** Asks anew what was asked of a host that is gone. */
+  #moveAsks(live: readonly LiveHost[], nowMs: number): readonly CoreMessage[] {
+    const liveIds = new Set(live.map(({hostId}) => hostId));
+    const messages: CoreMessage[] = [];
+    for (const [askId, {requestId, customerId, homeId}] of [...this.#asks]) {
+      if (!liveIds.has(homeId)) {
+        this.#asks.delete(askId);
+        this.#askByRequest.delete(requestId);
+        messages.push(...this.#ask(requestId, customerId, nowMs));
+      }
+    }
+    return messages;
+  }
+
   #armTimer(nowMs: number): readonly CoreMessage[] {
     if (this.#isTimerSet || this.#asks.size === 0) {
       return [];
--- a/packages/core/src/quota/quotaHomeTask.ts
+++ b/packages/core/src/quota/quotaHomeTask.ts
@@ -1,22 +1,40 @@
 import type {Customer, FleetDocument} from '@godwitspring/document';
 import type {FleetBounds} from '../fleet/fleetBounds.ts';
 import {fleetShare} from '../fleet/fleetShare.ts';
+import {HeardPlaces} from '../fleet/heardPlaces.ts';
+import {HomeFinder} from '../fleet/homeFinder.ts';
 import type {CoreTask} from '../host/coreTask.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
 import type {PeerMessage} from '../messages/peerMessages.ts';
-import {CustomerBucket} from './customerBucket.ts';
+import type {HashFunction} from '../time/hashFunction.ts';
+import {customerDuty} from './customerDuty.ts';
+import {CustomerWindow} from './customerWindow.ts';
+
+export interface QuotaHomeTaskOptions {
+  readonly selfId: string;
+  readonly dataCentre: string;
+  readonly hash: HashFunction;
+  readonly bounds: FleetBounds;
+}
+
+/** Part of a customer's rate that a stand-in hands out: with a home of one data centre in three it stays below the overshoot. */
+const standInShare = 0.75;
 
 /** Decides for customers whose home is here whether a request lies within rate and burst of the fleet. */
 export class QuotaHomeTask implements CoreTask {
   readonly accepts = ['peerMessageReceived', 'documentInForce', 'rosterChanged'] as const;
 
-  readonly #bounds: FleetBounds;
-  readonly #buckets = new Map<string, CustomerBucket>();
+  readonly #options: QuotaHomeTaskOptions;
+  readonly #finder: HomeFinder;
+  readonly #heard: HeardPlaces;
+  readonly #windows = new Map<string, CustomerWindow>();
   #customers = new Map<string, Customer>();
   #fleetShare = 1;
 
-  constructor({bounds}: {readonly bounds: FleetBounds}) {
-    this.#bounds = bounds;
+  constructor(options: QuotaHomeTaskOptions) {
+    this.#options = options;
+    this.#finder = new HomeFinder(options.hash);
+    this.#heard = new HeardPlaces(options.dataCentre);
   }
 
   receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
@@ -26,7 +44,9 @@
       case 'documentInForce':
         return this.#onDocument(message.document);
       case 'rosterChanged':
-        this.#fleetShare = fleetShare(message, this.#bounds.rateOvershoot);
+        this.#fleetShare = fleetShare(message, this.#options.bounds.rateOvershoot);
+        this.#finder.place(message.live);
+        this.#heard.place(message.live);
         return [];
       default:
         return [];
@@ -35,15 +55,16 @@
 
   #onDocument(document: FleetDocument): readonly CoreMessage[] {
     this.#customers = new Map(document.customers.map((customer) => [customer.id, customer]));
-    for (const customerId of this.#buckets.keys()) {
+    for (const customerId of this.#windows.keys()) {
       if (!this.#customers.has(customerId)) {
-        this.#buckets.delete(customerId);
+        this.#windows.delete(customerId);
       }
     }
     return [];
   }
 
   #onPeer(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
+    this.#heard.note(fromHostId, nowMs);
     if (message.type !== 'quotaAsk') {
       return [];
     }
@@ -52,16 +73,28 @@
     if (customer === undefined) {
       return [];
     }
-    let bucket = this.#buckets.get(customerId);
-    if (bucket === undefined) {
-      bucket = new CustomerBucket(customer, nowMs);
-      this.#buckets.set(customerId, bucket);
+    let window = this.#windows.get(customerId);
+    if (window === undefined) {
+      window = new CustomerWindow(this.#options.bounds.rateWindowMs);
+      this.#windows.set(customerId, window);
     }
-    const retryAfterMs = bucket.take(customer, this.#fleetShare, nowMs);
+    const retryAfterMs = window.take(customer, this.#shareFor(customerId, nowMs), nowMs);
     const isGranted = retryAfterMs === 0;
     const answer: PeerMessage = isGranted
       ? {type: 'quotaAnswer', askId, isGranted}
       : {type: 'quotaAnswer', askId, isGranted, retryAfterMs};
     return [{type: 'sendToPeer', toHostId: fromHostId, message: answer}];
   }
+
+  /**
+   * Part of the customer's rate that this host may hand out.
+   *
+   * A home that lost sight of a data centre leaves that part to the home there. A host that is asked
+   * though it is not the first in the order keeps a rest back for the home that it stands in for.
+   */
+  #shareFor(customerId: string, nowMs: number): number {
+    const heard = Math.min(this.#fleetShare, this.#heard.share(nowMs));
+    const isFirst = this.#finder.homeOf(customerDuty(customerId), nowMs) === this.#options.selfId;
+    return isFirst ? heard : heard * standInShare;
+  }
 }
--- a/packages/core/src/request/admitRequest.ts
+++ b/packages/core/src/request/admitRequest.ts
@@ -101,7 +101,7 @@
     hasBeenInDoubt: false,
     isNextARepeat: false,
     isPermitted: customer === undefined,
-    hasServerFailed: false,
+    serverFailure: undefined,
     excludedServerIds: [],
     losses: [],
   };
--- a/packages/core/src/request/requestState.ts
+++ b/packages/core/src/request/requestState.ts
@@ -1,5 +1,6 @@
 import type {Backend, Route} from '@godwitspring/document';
 import type {ServerReleased} from '../messages/requestMessages.ts';
+import type {WorkOutcome} from '../messages/workOutcome.ts';
 
 /** Where a request stands; with a second attempt beside the first it stays in `attempt`. */
 export type RequestPhase = 'claim' | 'server' | 'permit' | 'attempt' | 'delivering';
@@ -53,8 +54,8 @@
   isNextARepeat: boolean;
   /** True once the customer's permission was spent. */
   isPermitted: boolean;
-  /** True where the answer handed on is a failure of the server. */
-  hasServerFailed: boolean;
+  /** How the server failed, where the answer handed on is a failure of the server. */
+  serverFailure: WorkOutcome | undefined;
   readonly excludedServerIds: string[];
   /** Losses of this request that are not yet counted against their servers. */
   readonly losses: ServerReleased[];
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -37,6 +37,7 @@
 const watchAnswerMs = 60_000;
 /** Connections that one request may break before it is not sent again. */
 const maxLosses = 2;
+const gatewayTimeoutStatus = 504;
 
 interface RefusalOptions {
   readonly retryAfterMs?: number | undefined;
@@ -67,6 +68,11 @@
   misdirected: 'shed',
 };
 
+/** A server that gave up at the deadline was silent until then. */
+function failureOutcome(status: number): WorkOutcome {
+  return status === gatewayTimeoutStatus ? 'timeout' : 'error';
+}
+
 /** Leads each request from its arrival to its answer or refusal; decides on retries. */
 export class RequestTask implements CoreTask {
   readonly accepts = [
@@ -380,7 +386,7 @@
     if (isFailure && request.isIdempotent) {
       if (request.running.size > 1 || this.#canRetry(request, 'failure', nowMs)) {
         request.hasBeenInDoubt = true;
-        return this.#retry(request, running, 'error', 'server-error', nowMs);
+        return this.#retry(request, running, failureOutcome(message.status), 'server-error', nowMs);
       }
     }
     return this.#deliver(request, running, message.status, nowMs);
@@ -395,7 +401,7 @@
     const {requestId, requestName} = request;
     const isFailure = status >= 500;
     request.phase = 'delivering';
-    request.hasServerFailed = isFailure;
+    request.serverFailure = isFailure ? failureOutcome(status) : undefined;
     const fields = {
       requestName,
       route: request.route.id,
@@ -525,12 +531,12 @@
     if (request.phase !== 'delivering' || running === undefined) {
       return [];
     }
-    const {requestId, hasServerFailed} = request;
+    const {requestId, serverFailure} = request;
     return [
       {type: 'claimSettled', requestId, state: 'answered', answer},
-      ...releaseServer(request, running, hasServerFailed ? 'error' : 'ok', nowMs),
+      ...releaseServer(request, running, serverFailure ?? 'ok', nowMs),
       ...this.#end(request, 'ok', nowMs),
-      ...(hasServerFailed ? [] : this.#clear(request, nowMs)),
+      ...(serverFailure === undefined ? this.#clear(request, nowMs) : []),
       this.#count('request.answered', request),
     ];
   }
--- a/packages/core/src/roster/rosterTable.ts
+++ b/packages/core/src/roster/rosterTable.ts
@@ -82,6 +82,14 @@
     }
   }
 
+  /** Takes a host for dead until its beat grows again. */
+  noteAbsent(hostId: string): void {
+    const member = this.#members.get(hostId);
+    if (member !== undefined && hostId !== this.#self.hostId) {
+      member.advancedAtMs -= this.#options.deadAfterMs;
+    }
+  }
+
   /** Members heard of within the time after which a host counts as dead, as news for a peer. */
   news(isAnswerWanted: boolean, nowMs: number): RosterNews {
     const dataCentres: string[] = [];
--- a/packages/core/src/roster/rosterTask.ts
+++ b/packages/core/src/roster/rosterTask.ts
@@ -40,7 +40,13 @@
  * centre; a host whose count stands still is dead. The host's id is the address of its peer port.
  */
 export class RosterTask implements CoreTask {
-  readonly accepts = ['peerMessageReceived', 'timerFired', 'leavingSoon', 'statusWanted'] as const;
+  readonly accepts = [
+    'peerMessageReceived',
+    'peerAbsent',
+    'timerFired',
+    'leavingSoon',
+    'statusWanted',
+  ] as const;
 
   readonly #options: RosterTaskOptions;
   readonly #table: RosterTable;
@@ -60,6 +66,9 @@
         return this.#onTimer(message.timerId, nowMs);
       case 'peerMessageReceived':
         return this.#onPeer(message.fromHostId, message.message, nowMs);
+      case 'peerAbsent':
+        this.#table.noteAbsent(message.hostId);
+        return this.#tellChange(nowMs);
       case 'leavingSoon':
         this.#table.leave();
         return [...this.#tellAll(nowMs), ...this.#tellChange(nowMs)];
--- a/packages/peer/src/peerTask.ts
+++ b/packages/peer/src/peerTask.ts
@@ -12,6 +12,8 @@
       readonly message: PeerMessage;
     }
   | {readonly type: 'refused'; readonly fromHostId: string; readonly reason: string}
+  /** Nobody listens at the host's address. */
+  | {readonly type: 'absent'; readonly hostId: string}
   | {readonly type: 'bytes'; readonly direction: 'in' | 'out'; readonly count: number};
 
 export interface PeerTaskOptions {
@@ -43,11 +45,20 @@
 const secretHeader = 'x-fleet-secret';
 const openTimeoutMs = 2_000;
 
+/** Age of the last sign of life from which a link is asked for one, in ms. */
+const quietMs = 700;
+/** Longest wait for a sign of life before a link counts as dead, in ms: some hundred round trips. */
+const signOfLifeTimeoutMs = 600;
+
 interface Link {
   readonly address: string;
   readonly socket: WebSocket;
   readonly codec: PeerCodec;
   readonly queued: PeerMessage[];
+  /** When the peer last showed that the link carries bytes both ways, in ms. */
+  aliveAtMs: number;
+  /** When a sign of life was asked for; undefined where none is awaited, in ms. */
+  askedAtMs: number | undefined;
 }
 
 function isSameSecret(shown: string, asked: string): boolean {
@@ -104,6 +115,18 @@
   /** Sends a message if the host is known and its link not broken lately; peers repeat what is lost. */
   send(toHostId: string, message: PeerMessage): void {
     const link = this.#links.get(toHostId) ?? this.#open(toHostId);
+    if (link === undefined) {
+      return;
+    }
+    if (link.socket.readyState === WebSocket.OPEN) {
+      const usable = this.#isAlive(toHostId, link) ? link : this.#open(toHostId);
+      this.#writeOrQueue(usable, message);
+      return;
+    }
+    this.#writeOrQueue(link, message);
+  }
+
+  #writeOrQueue(link: Link | undefined, message: PeerMessage): void {
     if (link === undefined) {
       return;
     }
@@ -116,6 +139,22 @@
     }
   }
 
+  /** Asks a quiet link for a sign of life; gives up one that did not show any in time. */
+  #isAlive(toHostId: string, link: Link): boolean {
+    const nowMs = performance.now();
+    if (link.askedAtMs !== undefined && nowMs - link.askedAtMs > signOfLifeTimeoutMs) {
+      this.#links.delete(toHostId);
+      link.socket.terminate();
+      this.#options.report({type: 'refused', fromHostId: toHostId, reason: 'silent'});
+      return false;
+    }
+    if (link.askedAtMs === undefined && nowMs - link.aliveAtMs > quietMs) {
+      link.askedAtMs = nowMs;
+      link.socket.ping();
+    }
+    return true;
+  }
+
   async stop(): Promise<void> {
     for (const {socket} of this.#links.values()) {
       socket.close();
@@ -180,7 +219,14 @@
       maxPayload: maxMessageBytes,
       handshakeTimeout: openTimeoutMs,
     });
-    const link: Link = {address, socket, codec: new PeerCodec(), queued: []};
+    const link: Link = {
+      address,
+      socket,
+      codec: new PeerCodec(),
+      queued: [],
+      aliveAtMs: performance.now(),
+      askedAtMs: undefined,
+    };
     this.#links.set(toHostId, link);
     this.#watch(toHostId, link);
     return link;
@@ -188,20 +234,30 @@
 
   #watch(toHostId: string, link: Link): void {
     const {socket, queued} = link;
+    socket.on('pong', () => {
+      link.aliveAtMs = performance.now();
+      link.askedAtMs = undefined;
+    });
     socket.on('open', () => {
+      link.aliveAtMs = performance.now();
       for (const message of queued.splice(0)) {
         this.#write(link, message);
       }
     });
     const drop = (): void => {
-      this.#closedAtMs.set(toHostId, performance.now());
       if (this.#links.get(toHostId) === link) {
+        this.#closedAtMs.set(toHostId, performance.now());
         this.#links.delete(toHostId);
       }
       socket.terminate();
     };
     socket.on('close', drop);
-    socket.on('error', drop);
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      drop();
+      if (error.code === 'ECONNREFUSED') {
+        this.#options.report({type: 'absent', hostId: toHostId});
+      }
+    });
   }
 
   #write({socket, codec}: Link, message: PeerMessage): void {
--- a/packages/proxy/src/host/fleetHost.ts
+++ b/packages/proxy/src/host/fleetHost.ts
@@ -236,6 +236,10 @@
         this.#log.write('warn', 'peer.refused', {fromHostId, reason});
         return;
       }
+      case 'absent':
+        this.#metrics.count('peer.absent');
+        this.#runner.tell({type: 'peerAbsent', hostId: report.hostId});
+        return;
       case 'received': {
         const {fromHostId, message} = report;
         this.#runner.tell({type: 'peerMessageReceived', fromHostId, message});
--- a/packages/proxy/src/host/proxyHost.ts
+++ b/packages/proxy/src/host/proxyHost.ts
@@ -229,6 +229,9 @@
           reason: report.reason,
         });
         return;
+      case 'absent':
+        this.#metrics.count('peer.absent');
+        return;
       case 'received':
         this.#onPeerMessage(report);
         return;
