--- a/packages/cli/src/createCli.ts
+++ b/packages/cli/src/createCli.ts
@@ -7,6 +7,7 @@
 import {StandinBackendServerCommand} from './commands/standinBackendServerCommand.ts';
 import {StandinPlatformCommand} from './commands/standinPlatformCommand.ts';
 import {ExplainCommand} from './commands/explainCommand.ts';
+import {ExplainRequestCommand} from './commands/explainRequestCommand.ts';
 import {StatusCommand} from './commands/statusCommand.ts';
 import {version} from './version.ts';
 
@@ -25,6 +26,7 @@
   cli.register(ConsoleCommand);
   cli.register(StatusCommand);
   cli.register(ExplainCommand);
+  cli.register(ExplainRequestCommand);
   cli.register(LoadCommand);
   cli.register(StandinPlatformCommand);
   cli.register(StandinBackendServerCommand);
--- a/packages/core/src/messages/coreMessage.ts
+++ b/packages/core/src/messages/coreMessage.ts
@@ -42,6 +42,7 @@
   host.timerWantedSchema,
   host.sendProbeSchema,
   host.countSchema,
+  host.observeSchema,
   host.logSchema,
   host.statusToldSchema,
 ]);
--- a/packages/core/src/messages/hostMessages.ts
+++ b/packages/core/src/messages/hostMessages.ts
@@ -126,6 +126,14 @@
   by: z.number().int().optional(),
 });
 
+/** One time for a histogram. */
+export const observeSchema = z.object({
+  type: z.literal('observe'),
+  name: z.string(),
+  tags: z.record(z.string(), z.string()),
+  valueMs: z.number(),
+});
+
 export const logSchema = z.object({
   type: z.literal('log'),
   level: z.enum(['debug', 'info', 'warn', 'error']),
--- a/packages/core/src/placement/placementEntryTask.ts
+++ b/packages/core/src/placement/placementEntryTask.ts
@@ -226,7 +226,10 @@
       runningByServer.set(serverId, (runningByServer.get(serverId) ?? 0) + 1);
     }
     const servers = this.#servers.filter((server) => server.backendId === backendId);
-    const server = this.#lone.choose(servers, runningByServer, excludedServerIds, nowMs);
+    const mayTry = wanted.isRepeat !== true;
+    const server = mayTry
+      ? this.#lone.choose(servers, runningByServer, excludedServerIds, nowMs)
+      : undefined;
     const {requestName} = wanted;
     const fields = {requestName, backendId, serverId: server?.id, servers: servers.length};
     const log: CoreMessage = {type: 'log', level: 'warn', event: 'place.alone', fields};
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -307,8 +307,10 @@
       leftMs: Math.round(started.timeoutMs),
       beside: request.running.size - 1,
     };
+    const waitedMs = nowMs - request.arrivedAtMs;
     const messages: CoreMessage[] = [
       started,
+      this.#observe('attempt.wait', request, `attempt ${started.attempt}`, waitedMs),
       {type: 'log', level: 'info', event: 'attempt.started', fields},
     ];
     const {secondAfterMs} = granted;
@@ -538,6 +540,8 @@
       ...this.#end(request, 'ok', nowMs),
       ...(serverFailure === undefined ? this.#clear(request, nowMs) : []),
       this.#count('request.answered', request),
+      this.#observe('request.time', request, serverFailure ?? 'ok', nowMs - request.arrivedAtMs),
+      this.#observe('attempt.time', request, serverFailure ?? 'ok', nowMs - running.startedAtMs),
     ];
   }
 
@@ -645,6 +649,7 @@
     return [
       ...ended,
       ...this.#refuseAtOnce(requestId, kind, {retryAfterMs, outcome: told}),
+      this.#observe('request.time', request, kind, nowMs - request.arrivedAtMs),
       {type: 'log', level: 'warn', event: 'request.refused', fields},
     ];
   }
@@ -668,6 +673,10 @@
     ];
   }
 
+  #observe(name: string, {route}: RequestState, outcome: string, valueMs: number): CoreMessage {
+    return {type: 'observe', name, tags: {route: route.id, outcome}, valueMs};
+  }
+
   #count(name: string, request: RequestState): CoreMessage {
     return {type: 'count', name, tags: {route: request.route.id}};
   }
--- a/packages/proxy/src/admin/adminTask.ts
+++ b/packages/proxy/src/admin/adminTask.ts
@@ -1,12 +1,15 @@
 import type {Server} from 'node:http';
 import {createAdaptorServer} from '@hono/node-server';
 import {Hono} from 'hono';
+import type {MetricsText} from '../metrics/metricsText.ts';
 import {listenOn} from '../task/listenOn.ts';
 
 export interface AdminTaskOptions {
   readonly listenHost: string;
   readonly listenPort: number;
   readonly counters: () => Record<string, number>;
+  /** Counters and histograms in the Prometheus exposition format. */
+  readonly metrics: MetricsText;
   /** Status by section, as the tasks of the core tell it. */
   readonly status: () => Record<string, Record<string, unknown>>;
 }
@@ -21,7 +24,7 @@
   }
 
   async start(): Promise<void> {
-    const {listenHost, listenPort, counters, status} = this.#options;
+    const {listenHost, listenPort, counters, metrics, status} = this.#options;
     const app = new Hono();
     app.get('/-/live', (context) => context.json({isLive: true}));
     app.get('/-/ready', (context) => {
@@ -29,6 +32,9 @@
       return context.json({isReady}, isReady ? 200 : 503);
     });
     app.get('/-/metrics', (context) => context.json(counters()));
+    app.get('/metrics', async (context) =>
+      context.body(await metrics.read(), 200, {'content-type': metrics.contentType}),
+    );
     app.get('/-/status', (context) => context.json(status()));
     const server = createAdaptorServer({
       fetch: app.fetch,
--- a/packages/proxy/src/host/fleetHost.ts
+++ b/packages/proxy/src/host/fleetHost.ts
@@ -139,6 +139,7 @@
     this.#admin = new AdminTask({
       ...listen(addresses.admin),
       counters: () => this.#metrics.counters.snapshot(),
+      metrics: this.#metrics.text,
       status: () => this.#runner.status(),
     });
   }
@@ -213,6 +214,9 @@
       case 'count':
         this.#metrics.count(effect.name, effect.tags, effect.by);
         return;
+      case 'observe':
+        this.#metrics.observe(effect.name, effect.tags, effect.valueMs);
+        return;
       case 'log':
         this.#log.write(effect.level, effect.event, effect.fields);
         return;
--- a/packages/proxy/src/host/proxyHost.ts
+++ b/packages/proxy/src/host/proxyHost.ts
@@ -118,6 +118,7 @@
     this.#admin = new AdminTask({
       ...this.#listen(settings.listen.admin),
       counters: () => this.#metrics.counters.snapshot(),
+      metrics: this.#metrics.text,
       status: () => this.#runner.status(),
     });
   }
@@ -200,6 +201,9 @@
       case 'count':
         this.#metrics.count(effect.name, effect.tags, effect.by);
         return;
+      case 'observe':
+        this.#metrics.observe(effect.name, effect.tags, effect.valueMs);
+        return;
       case 'log':
         this.#options.log[effect.level]({event: effect.event, ...effect.fields});
         return;
--- a/packages/proxy/src/metrics/metricsTask.ts
+++ b/packages/proxy/src/metrics/metricsTask.ts
@@ -1,5 +1,6 @@
 import {StatsD} from 'hot-shots';
 import {CounterTable} from './counterTable.ts';
+import {MetricsText} from './metricsText.ts';
 
 export interface MetricsTaskOptions {
   readonly selfId: string;
@@ -12,6 +13,7 @@
 /** Owns the counters and the socket to the StatsD collector. */
 export class MetricsTask {
   readonly counters = new CounterTable();
+  readonly text = new MetricsText();
   readonly #client: StatsD | undefined;
 
   constructor({selfId, statsd, intervalMs}: MetricsTaskOptions) {
@@ -29,9 +31,16 @@
 
   count(name: string, tags: Readonly<Record<string, string>> = {}, by = 1): void {
     this.counters.add(name, tags, by);
+    this.text.count(name, tags, by);
     this.#client?.increment(name, by, {...tags});
   }
 
+  /** Takes one time, in ms. */
+  observe(name: string, tags: Readonly<Record<string, string>>, valueMs: number): void {
+    this.text.observe(name, tags, valueMs);
+    this.#client?.timing(name, valueMs, {...tags});
+  }
+
   async stop(): Promise<void> {
     const client = this.#client;
     if (client === undefined) {
