Refuse rather than lose at a doubted server; tell a reset from an end; slack of rates; servers not reached count for no attempt

Change: work that may run once is never placed above a risk of 0.7; warm servers may start more a second; half of the slack of a rate is used while the whole fleet is heard; connections note a reset; the wait of a customer that got little counts its own place in the line.

--- a/packages/core/src/fleet/fleetBounds.ts
+++ b/packages/core/src/fleet/fleetBounds.ts
@@ -22,6 +22,8 @@
   rateWindowMs: z.number().positive().default(5_000),
   /** Share by which a customer's rate may be exceeded over the fleet. Default: 0.25. */
   rateOvershoot: z.number().min(0).default(0.25),
+  /** Requests in a window by which a customer's rate may be exceeded beside that. Default: 0. */
+  rateSlack: z.number().min(0).default(0),
 });
 
 export type FleetBounds = z.infer<typeof fleetBoundsSchema>;
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -40,10 +40,20 @@
 
 /** Mean work time assumed before answers came, in ms. */
 const firstGuessMs = 250;
-/** Risk at which work that may run once waits rather than starts, and the wait that makes up for it. */
-const acceptedRisk = 0.2;
-const patienceMs = 300;
+/**
+ * Risk up to which work that may run once is started at once, and after most of the time for waiting is
+ * over. Beyond that it is better refused, which the caller can act on, than lost.
+ */
+const acceptedRiskAtFirst = 0.2;
+const acceptedRiskAtLast = 0.7;
 const acceptedTrialRisk = 0.85;
+/** Part of the time for waiting after which the last risk is accepted. */
+const patienceShare = 0.6;
+/**
+ * Starts a second on a server that is known to be warm, as a multiple of what it bears cold: a server
+ * that turned cold unseen works at half speed, so that its slots hold the rate down.
+ */
+const warmStartsFactor = 1.75;
 /** An attempt later than this share of the answers is joined by a second one. */
 const secondAfterShare = 0.92;
 /** The same for an attempt on a server that is not proven. */
@@ -166,14 +176,22 @@
     if (chosen === undefined) {
       return undefined;
     }
-    const patience = (nowMs - arrivedAtMs) / patienceMs;
-    const accepted = isTrialAllowed ? acceptedTrialRisk : acceptedRisk + patience;
+    const accepted = isTrialAllowed
+      ? acceptedTrialRisk
+      : this.#acceptedRisk(ask, arrivedAtMs, nowMs);
     if (chosen.risk > accepted) {
       return undefined;
     }
     return this.#grant(key, ask, asker, chosen, nowMs);
   }
 
+  /** Risk that is accepted for work that may run once, growing with its wait. */
+  #acceptedRisk(ask: PlaceAsk, arrivedAtMs: number, nowMs: number): number {
+    const patienceMs = Math.max(1, (ask.leftMs - this.#typicalWorkMs(ask)) * patienceShare);
+    const passed = Math.min(1, (nowMs - arrivedAtMs) / patienceMs);
+    return acceptedRiskAtFirst + (acceptedRiskAtLast - acceptedRiskAtFirst) * passed;
+  }
+
   /** Takes the end of an attempt; false where it is unknown here. */
   end(key: string, outcome: WorkOutcome, ranForMs: number, nowMs: number): boolean {
     const attempt = this.#placed.get(key);
@@ -230,7 +248,7 @@
     for (const [key, {hostId, ask, uselessAtMs}] of this.line.inOrder(nowMs)) {
       if (nowMs >= uselessAtMs) {
         this.line.remove(key);
-        useless.push({key, hostId, ask, retryAfterMs: this.#expectedWaitMs(ask)});
+        useless.push({key, hostId, ask, retryAfterMs: this.#expectedWaitMs(ask, nowMs)});
       }
     }
     return useless;
@@ -264,7 +282,7 @@
 
   #wait(key: string, ask: PlaceAsk, asker: Asker, nowMs: number): Placement {
     const workMs = this.#typicalWorkMs(ask);
-    const expectedWaitMs = this.#expectedWaitMs(ask);
+    const expectedWaitMs = this.#expectedWaitMs(ask, nowMs);
     const uselessAtMs = nowMs + ask.leftMs - workMs;
     if (nowMs + expectedWaitMs > uselessAtMs) {
       const retryAfterMs = Math.max(shortestRetryMs, expectedWaitMs);
@@ -275,8 +293,8 @@
   }
 
   /** Time until a server is free for one more request of this rank, from the work that is ahead. */
-  #expectedWaitMs(ask: PlaceAsk): number {
-    const ahead = this.line.countBefore(ask.priority) + 1;
+  #expectedWaitMs(ask: PlaceAsk, nowMs: number): number {
+    const ahead = this.line.countBefore(ask, nowMs) + 1;
     const slots = this.#servers.reduce((sum, server) => sum + server.slots, 0);
     return slots === 0 ? 1_000 : (ahead * this.#typicalWorkMs(ask)) / slots;
   }
@@ -309,7 +327,7 @@
     return usable.length > 0 ? usable : lapsed;
   }
 
-  /** Requests that one server may get in a second, so that it bears them even if it turned cold unseen. */
+  /** Requests that one server may get in a second. */
   #startsPerSecond(serverId: string, nowMs: number): number {
     const rate = this.#backend?.coldRequestsPerSecond;
     if (rate === undefined) {
@@ -317,7 +335,7 @@
     }
     const {coldOvershoot, coldSlack} = this.#options.bounds;
     const isCold = (this.#coldUntilMs.get(serverId) ?? 0) > nowMs;
-    const bound = isCold ? rate : rate * coldOvershoot + coldSlack - 1;
+    const bound = isCold ? rate : (rate * coldOvershoot + coldSlack - 1) * warmStartsFactor;
     return Math.max(1, Math.floor(bound * this.#fleetShare));
   }
 
--- a/packages/core/src/placement/waitingLine.ts
+++ b/packages/core/src/placement/waitingLine.ts
@@ -39,13 +39,13 @@
     this.#waiting.delete(key);
   }
 
-  /** Requests that would be served before one of this rank. */
-  countBefore(priority: number): number {
+  /** Requests that would be served before a new one of this rank and customer. */
+  countBefore({priority, customerId}: PlaceAsk, nowMs: number): number {
+    const served = this.#served(customerId, nowMs);
     let count = 0;
     for (const {ask} of this.#waiting.values()) {
-      if (ask.priority <= priority) {
-        count += 1;
-      }
+      const isEqual = ask.priority === priority && this.#served(ask.customerId, nowMs) <= served;
+      count += ask.priority < priority || isEqual ? 1 : 0;
     }
     return count;
   }
--- a/packages/core/src/quota/customerWindow.ts
+++ b/packages/core/src/quota/customerWindow.ts
@@ -1,5 +1,13 @@
 import type {Customer} from '@godwitspring/document';
 
+/** What of a customer's allowance a home may hand out. */
+export interface CustomerShare {
+  /** Part of rate and burst, 0 to 1. */
+  readonly fleetShare: number;
+  /** Requests in a window beyond that. */
+  readonly slack: number;
+}
+
 /**
  * Requests of one customer in a sliding window, as its home counts them.
  *
@@ -15,9 +23,9 @@
   }
 
   /** Admits one request; gives the time until the next has room where there is none, in ms. */
-  take(customer: Customer, fleetShare: number, nowMs: number): number {
+  take(customer: Customer, {fleetShare, slack}: CustomerShare, nowMs: number): number {
     const {ratePerSecond, burstRequests} = customer;
-    const allowed = ((ratePerSecond * this.#windowMs) / 1_000 + burstRequests) * fleetShare;
+    const allowed = ((ratePerSecond * this.#windowMs) / 1_000 + burstRequests) * fleetShare + slack;
     while ((this.#admittedAtMs[0] ?? nowMs) <= nowMs - this.#windowMs) {
       this.#admittedAtMs.shift();
     }
--- a/packages/core/src/quota/quotaEntryTask.ts
+++ b/packages/core/src/quota/quotaEntryTask.ts
@@ -129,7 +129,7 @@
       window = new CustomerWindow(this.#options.bounds.rateWindowMs);
       this.#loneWindows.set(customer.id, window);
     }
-    const retryAfterMs = window.take(customer, 1 / this.#knownHosts, nowMs);
+    const retryAfterMs = window.take(customer, {fleetShare: 1 / this.#knownHosts, slack: 0}, nowMs);
     return this.#settle(requestId, {isGranted: retryAfterMs === 0, retryAfterMs}, nowMs);
   }
 
--- a/packages/core/src/quota/quotaHomeTask.ts
+++ b/packages/core/src/quota/quotaHomeTask.ts
@@ -9,6 +9,7 @@
 import type {HashFunction} from '../time/hashFunction.ts';
 import {customerDuty} from './customerDuty.ts';
 import {CustomerWindow} from './customerWindow.ts';
+import type {CustomerShare} from './customerWindow.ts';
 
 export interface QuotaHomeTaskOptions {
   readonly selfId: string;
@@ -19,6 +20,8 @@
 
 /** Part of a customer's rate that a stand-in hands out: with a home of one data centre in three it stays below the overshoot. */
 const standInShare = 0.75;
+/** Part of the slack in a customer's rate that a home uses while it hears the whole fleet. */
+const usedSlack = 0.5;
 
 /** Decides for customers whose home is here whether a request lies within rate and burst of the fleet. */
 export class QuotaHomeTask implements CoreTask {
@@ -92,9 +95,13 @@
    * A home that lost sight of a data centre leaves that part to the home there. A host that is asked
    * though it is not the first in the order keeps a rest back for the home that it stands in for.
    */
-  #shareFor(customerId: string, nowMs: number): number {
+  #shareFor(customerId: string, nowMs: number): CustomerShare {
+    const {selfId, bounds} = this.#options;
     const heard = Math.min(this.#fleetShare, this.#heard.share(nowMs));
-    const isFirst = this.#finder.homeOf(customerDuty(customerId), nowMs) === this.#options.selfId;
-    return isFirst ? heard : heard * standInShare;
+    const isFirst = this.#finder.homeOf(customerDuty(customerId), nowMs) === selfId;
+    if (!isFirst) {
+      return {fleetShare: heard * standInShare, slack: 0};
+    }
+    return {fleetShare: heard, slack: heard === 1 ? bounds.rateSlack * usedSlack : 0};
   }
 }
--- a/packages/core/src/request/admitRequest.ts
+++ b/packages/core/src/request/admitRequest.ts
@@ -95,6 +95,7 @@
     requestDigest,
     phase: 'claim',
     attempt: 0,
+    unreached: 0,
     running: new Map(),
     granted: undefined,
     isSecondWanted: false,
--- a/packages/core/src/request/releaseServer.ts
+++ b/packages/core/src/request/releaseServer.ts
@@ -44,6 +44,7 @@
   nowMs: number,
 ): readonly CoreMessage[] {
   request.running.delete(attempt);
+  request.unreached += outcome === 'unreachable' ? 1 : 0;
   request.excludedServerIds.push(serverId);
   const ranForMs = nowMs - startedAtMs;
   const released = releasedFor(request, serverId, outcome, {
--- a/packages/core/src/request/requestState.ts
+++ b/packages/core/src/request/requestState.ts
@@ -42,6 +42,8 @@
   phase: RequestPhase;
   /** Number of the attempt that was started last, from 1; 0 before the first. */
   attempt: number;
+  /** Attempts that did not reach their server, and so count for no server. */
+  unreached: number;
   /** Attempts that run, by number. */
   readonly running: Map<number, AttemptState>;
   /** Server for the next attempt, while permission for the request is fetched. */
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -37,6 +37,8 @@
 const watchAnswerMs = 60_000;
 /** Connections that one request may break before it is not sent again. */
 const maxLosses = 2;
+/** Servers that one request may fail to reach before it is refused, besides its attempts. */
+const maxUnreached = 2;
 const gatewayTimeoutStatus = 504;
 
 interface RefusalOptions {
@@ -472,7 +474,10 @@
 
   #canRetry(request: RequestState, cause: RetryCause, nowMs: number): boolean {
     const {maxAttempts, minAttemptMs, retryGuard} = this.#options;
-    if (!request.isReplayable || request.attempt >= (request.route.maxAttempts ?? maxAttempts)) {
+    const {attempt, unreached, route} = request;
+    const reached = attempt - unreached - (cause === 'unreachable' ? 1 : 0);
+    const isSpent = reached >= (route.maxAttempts ?? maxAttempts) || unreached >= maxUnreached;
+    if (!request.isReplayable || isSpent) {
       return false;
     }
     if (request.deadlineAtMs - nowMs < minAttemptMs) {
--- a/packages/proxy/src/__tests__/callerPath.test.ts
+++ b/packages/proxy/src/__tests__/callerPath.test.ts
@@ -1,3 +1,4 @@
+import type {Socket} from 'node:net';
 import {createHash} from 'node:crypto';
 import {Agent, request as httpRequest} from 'node:http';
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
@@ -145,6 +146,25 @@
     expect(isBroken).to.equal(true);
   });
 
+  it('breaks an answer without a length visibly when the server resets its connection', async () => {
+    fleet.onCustom = (_request, response) => {
+      const {socket} = response;
+      socket?.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf');
+      setTimeout(() => (socket as Socket | null)?.resetAndDestroy(), 20);
+    };
+    const {isBroken} = await send(`${origin}/custom`);
+    expect(isBroken).to.equal(true);
+  });
+
+  it('passes on an answer without a length that ends with its connection', async () => {
+    fleet.onCustom = (_request, response) => {
+      response.socket?.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nall');
+    };
+    const {isBroken, text} = await send(`${origin}/custom`);
+    expect(text).to.equal('all');
+    expect(isBroken).to.equal(false);
+  });
+
   it('does not hand on an answer that belongs to another request', async () => {
     fleet.onCustom = (_request, response) => {
       response.setHeader('x-request-id', 'another');
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -151,7 +151,7 @@
         }
         this.#tellIdle();
       });
-      await this.#onAnswer(run, response);
+      await this.#onAnswer(run, response, connection);
     } catch (error) {
       this.#running.delete(name);
       connections.discard(connection);
@@ -163,7 +163,11 @@
   }
 
   /** Checks that the answer belongs to the attempt and is one of a server, and hands it on. */
-  async #onAnswer(run: RunAttempt, response: Dispatcher.ResponseData): Promise<void> {
+  async #onAnswer(
+    run: RunAttempt,
+    response: Dispatcher.ResponseData,
+    connection: ServerConnection,
+  ): Promise<void> {
     const {requestId, attempt, notRunHeader} = run;
     const {dialect, bufferedAnswerBytes} = this.#options;
     const {statusCode: status, body} = response;
@@ -179,7 +183,10 @@
     }
     const dropped = dialect.droppedAnswerHeaders(notRunHeader);
     const headers = endToEndHeaders(response.headers, dropped);
-    const whole = bufferedAnswerBytes > 0 ? await bufferAnswer(body, bufferedAnswerBytes) : body;
+    const whole = await bufferAnswer(body, {
+      maxBytes: bufferedAnswerBytes,
+      wasBroken: () => connection.wasReset,
+    });
     this.#options.answer(requestId, {attempt, status, headers, body: whole});
     const {saidNotRun, isMisdirected} = verdict;
     this.#options.tell({
--- a/packages/proxy/src/backends/serverConnections.ts
+++ b/packages/proxy/src/backends/serverConnections.ts
@@ -1,4 +1,4 @@
-import {Client} from 'undici';
+import {Client, buildConnector} from 'undici';
 
 export interface ServerConnectionsOptions {
   readonly origin: string;
@@ -15,6 +15,8 @@
   readonly client: Client;
   /** True once the connection stood; nothing was sent before. */
   hasConnected: boolean;
+  /** True once the server reset the connection; an answer without a length that ended so is not whole. */
+  wasReset: boolean;
   /** True while a request runs on it. */
   isBusy: boolean;
 }
@@ -70,14 +72,32 @@
 
   #create(): ServerConnection {
     const {origin, connectTimeoutMs, idleMs} = this.#options;
+    const connector = buildConnector({timeout: connectTimeoutMs});
     const client = new Client(origin, {
       pipelining: 1,
-      connect: {timeout: connectTimeoutMs},
+      connect: (options, callback) => {
+        connector(options, (...[error, socket]) => {
+          if (error !== null) {
+            callback(error, null);
+            return;
+          }
+          socket.on('error', (failure: NodeJS.ErrnoException) => {
+            // The client library ends connections by errors of its own; those of the system name a call.
+            connection.wasReset ||= failure.syscall !== undefined;
+          });
+          callback(null, socket);
+        });
+      },
       keepAliveTimeout: idleMs,
       keepAliveMaxTimeout: idleMs,
       bodyTimeout: 0,
     });
-    const connection: ServerConnection = {client, hasConnected: false, isBusy: false};
+    const connection: ServerConnection = {
+      client,
+      hasConnected: false,
+      wasReset: false,
+      isBusy: false,
+    };
     client.on('connect', () => {
       connection.hasConnected = true;
     });
--- a/packages/proxy/src/errors/hostErrors.ts
+++ b/packages/proxy/src/errors/hostErrors.ts
@@ -11,3 +11,6 @@
 
 /** A caller went silent inside a body. */
 export const SlowCallerError = HostError.subclass('SlowCallerError');
+
+/** A server's answer broke off. */
+export const BrokenAnswerError = HostError.subclass('BrokenAnswerError');
--- a/packages/proxy/src/host/fleetHost.ts
+++ b/packages/proxy/src/host/fleetHost.ts
@@ -50,8 +50,8 @@
 const bufferedAnswerBytes = 262_144;
 /** Request bodies up to this size are kept, so that a server that did not take them costs nothing, in bytes. */
 const maxReplayableBytes = 524_288;
-/** Longest wait for a connection to a server: some twenty round trips between data centres, in ms. */
-const connectTimeoutMs = 250;
+/** Longest wait for a connection to a server: some forty round trips between data centres, in ms. */
+const connectTimeoutMs = 120;
 /** Idle connections are closed well before servers do so after 10 s, in ms. */
 const idleMs = 8_000;
 /** Share of the grace time in which callers may still arrive: a load balancer takes 2 s to notice. */
