Doubt in silent servers fades in two seconds, and servers left alone are tried

Change: silence and wrong answers are doubted apart; doubt halves in 2 s instead of 3, at most 6; any server that was left alone for a second may be tried by work that may be repeated; a host keeps away from a silent pair for 9 s; a customer's home uses nine tenths of the slack (was half).

--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -46,7 +46,6 @@
  */
 const acceptedRiskAtFirst = 0.2;
 const acceptedRiskAtLast = 0.7;
-const acceptedTrialRisk = 0.85;
 /** Part of the time for waiting after which the last risk is accepted. */
 const patienceShare = 0.6;
 /**
@@ -176,10 +175,8 @@
     if (chosen === undefined) {
       return undefined;
     }
-    const accepted = isTrialAllowed
-      ? acceptedTrialRisk
-      : this.#acceptedRisk(ask, arrivedAtMs, nowMs);
-    if (chosen.risk > accepted) {
+    const isTooRisky = chosen.risk > this.#acceptedRisk(ask, arrivedAtMs, nowMs);
+    if (!isTrialAllowed && isTooRisky) {
       return undefined;
     }
     return this.#grant(key, ask, asker, chosen, nowMs);
--- a/packages/core/src/placement/serverTrust.ts
+++ b/packages/core/src/placement/serverTrust.ts
@@ -19,16 +19,16 @@
 /** Time over which a proof loses its worth, in ms: servers change for the worse every 12 s or so. */
 const proofLifeMs = 10_000;
 /** Time in which doubt halves, in ms: a third of the usual length of a fault. */
-const doubtHalfLifeMs = 3_000;
+const doubtHalfLifeMs = 2_000;
 /** Most that the age of one running attempt adds, as a logarithm of odds. */
 const maxAgeDoubt = 6;
-/** Share of the doubt that is left after a good answer. */
-const doubtLeftByProof = 0.3;
+/** Share of the doubt for wrong answers that is left after a good one: such servers fail now and then. */
+const wrongnessLeftByProof = 0.3;
 /** Doubt from which a former proof is void. */
 const voidingDoubt = 2;
-const maxDoubt = 8;
+const maxDoubt = 6;
 /** Time for which a host does not use a server that it could not reach or that was silent to it, in ms. */
-const pairAvoidanceMs = 4_000;
+const pairAvoidanceMs = 9_000;
 const rateWindowMs = 1_000;
 const spreadWindowMs = 2_000;
 
@@ -41,12 +41,20 @@
   error: 3,
   timeout: 5,
   lost: 3.5,
-  unreachable: 1.5,
+  unreachable: 1,
   shed: 2.5,
   cancelled: 0,
   misdirected: 20,
 };
 
+/** Ends that show a silent server or a broken path to it, rather than a server that answers wrongly. */
+const silentEnds: ReadonlySet<WorkOutcome> = new Set([
+  'timeout',
+  'lost',
+  'unreachable',
+  'cancelled',
+]);
+
 function logit(probability: number): number {
   return Math.log(probability / (1 - probability));
 }
@@ -55,8 +63,11 @@
 export class ServerTrust {
   readonly running = new Map<string, RunningAttempt>();
   #provenAtMs = Number.NEGATIVE_INFINITY;
-  #doubt = 0;
+  /** Doubt that the server is silent, voided by any later answer, and doubt that it answers wrongly. */
+  #silence = 0;
+  #wrongness = 0;
   #doubtAtMs = 0;
+  #silentSinceMs = Number.NEGATIVE_INFINITY;
   readonly #startsMs: number[] = [];
   readonly #avoidedUntilMs = new Map<string, number>();
 
@@ -97,20 +108,25 @@
     const ageMs = nowMs - attempt.startedAtMs;
     const ageDoubt = outcome === 'cancelled' ? this.#ageDoubt(attempt, ageMs, shareAbove) : 0;
     const added = Math.max(doubtByEnd[outcome], ageDoubt);
-    this.doubt(added, nowMs);
-    const isPathSuspect = outcome === 'unreachable' || outcome === 'timeout' || outcome === 'lost';
-    if (isPathSuspect || ageDoubt >= voidingDoubt) {
-      this.#avoidedUntilMs.set(attempt.hostId, nowMs + pairAvoidanceMs);
-    }
-    const wasSilent = outcome === 'timeout' || outcome === 'lost' || ageDoubt >= voidingDoubt;
-    if (wasSilent && attempt.startedAtMs >= this.#provenAtMs) {
-      this.#provenAtMs = Number.NEGATIVE_INFINITY;
+    if (silentEnds.has(outcome)) {
+      this.#noteSilence(attempt, added, nowMs);
+      return;
     }
+    this.#decay(nowMs);
+    this.#wrongness = Math.min(maxDoubt, this.#wrongness + added);
   }
 
-  doubt(added: number, nowMs: number): void {
-    this.#doubt = Math.min(maxDoubt, this.#doubtNow(nowMs) + added);
-    this.#doubtAtMs = nowMs;
+  /** Silence speaks against the path of the host and, unless the server answered others since, the server. */
+  #noteSilence({hostId, startedAtMs}: RunningAttempt, added: number, nowMs: number): void {
+    if (added >= doubtByEnd.unreachable) {
+      this.#avoidedUntilMs.set(hostId, nowMs + pairAvoidanceMs);
+    }
+    this.#decay(nowMs);
+    this.#silence = Math.min(maxDoubt, this.#silence + added);
+    this.#silentSinceMs = Math.max(this.#silentSinceMs, startedAtMs);
+    if (added >= voidingDoubt) {
+      this.#provenAtMs = Number.NEGATIVE_INFINITY;
+    }
   }
 
   /** True where the host could not reach the server lately. */
@@ -123,7 +139,7 @@
     const sinceProofMs = nowMs - this.#provenAtMs;
     const prior =
       provenRisk + (unknownRisk - provenRisk) * (1 - Math.exp(-sinceProofMs / proofLifeMs));
-    let odds = logit(prior) + this.#doubtNow(nowMs);
+    let odds = logit(prior) + (this.#silence + this.#wrongness) * this.#kept(nowMs);
     for (const attempt of this.running.values()) {
       odds += this.#ageDoubt(attempt, nowMs - attempt.startedAtMs, shareAbove);
     }
@@ -132,12 +148,22 @@
 
   #prove(startedAtMs: number, nowMs: number): void {
     this.#provenAtMs = Math.max(this.#provenAtMs, startedAtMs);
-    this.#doubt = this.#doubtNow(nowMs) * doubtLeftByProof;
+    this.#decay(nowMs);
+    this.#wrongness *= wrongnessLeftByProof;
+    if (startedAtMs >= this.#silentSinceMs) {
+      this.#silence *= wrongnessLeftByProof;
+    }
+  }
+
+  #decay(nowMs: number): void {
+    const kept = this.#kept(nowMs);
+    this.#silence *= kept;
+    this.#wrongness *= kept;
     this.#doubtAtMs = nowMs;
   }
 
-  #doubtNow(nowMs: number): number {
-    return this.#doubt * 0.5 ** ((nowMs - this.#doubtAtMs) / doubtHalfLifeMs);
+  #kept(nowMs: number): number {
+    return 0.5 ** ((nowMs - this.#doubtAtMs) / doubtHalfLifeMs);
   }
 
   #ageDoubt({routeId}: RunningAttempt, ageMs: number, shareAbove: ShareAbove): number {
--- a/packages/core/src/placement/trialServer.ts
+++ b/packages/core/src/placement/trialServer.ts
@@ -2,8 +2,8 @@
 
 /** Risk below which a server counts as proven. */
 const provenBelow = 0.04;
-/** Risk from which a server is not tried. */
-const hopelessFrom = 0.7;
+/** Time for which a server that was tried is left alone, in ms: a trial shows its end in less. */
+const restMs = 1_000;
 /** Share of the servers that should be proven and free, so that work that may run once finds one. */
 const wantedProvenShare = 0.25;
 const leastProven = 2;
@@ -38,7 +38,7 @@
     if (!isShort && nowMs - this.#lastTrialMs < trialIntervalMs) {
       return this.#surest.choose(candidates, situation);
     }
-    const tried = this.#leastKnown(candidates);
+    const tried = this.#leastKnown(candidates, nowMs);
     if (tried === undefined) {
       return this.#surest.choose(candidates, situation);
     }
@@ -46,12 +46,15 @@
     return tried;
   }
 
-  /** Of the servers that are not proven and not hopeless, the one that was left alone for longest. */
-  #leastKnown(candidates: readonly PlacementCandidate[]): PlacementCandidate | undefined {
+  /** Of the servers that are neither proven nor tried just now, the one that was left alone for longest. */
+  #leastKnown(
+    candidates: readonly PlacementCandidate[],
+    nowMs: number,
+  ): PlacementCandidate | undefined {
     let best: PlacementCandidate | undefined;
     for (const candidate of candidates) {
       const {risk, running, lastStartMs} = candidate;
-      if (risk < provenBelow || risk >= hopelessFrom || running > 0) {
+      if (risk < provenBelow || running > 0 || nowMs - lastStartMs < restMs) {
         continue;
       }
       if (best === undefined || lastStartMs < best.lastStartMs) {
--- a/packages/core/src/quota/quotaHomeTask.ts
+++ b/packages/core/src/quota/quotaHomeTask.ts
@@ -21,7 +21,7 @@
 /** Part of a customer's rate that a stand-in hands out: with a home of one data centre in three it stays below the overshoot. */
 const standInShare = 0.75;
 /** Part of the slack in a customer's rate that a home uses while it hears the whole fleet. */
-const usedSlack = 0.5;
+const usedSlack = 0.9;
 
 /** Decides for customers whose home is here whether a request lies within rate and burst of the fleet. */
 export class QuotaHomeTask implements CoreTask {
