An attempt that was cut early says little of its server; work that would be cut is not begun

Change: the doubt of a time-out goes by the age of the attempt, as that of a cancelled one; work is begun while three of four answers would come in time.

--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -68,6 +68,8 @@
 /** Time for which a server that said it is another one gets nothing, in ms. */
 const misdirectedMs = 5_000;
 const shortestRetryMs = 50;
+/** Work is not begun where less than this share of the answers would come in time. */
+const usefulShare = 0.75;
 
 export interface BackendHomeOptions {
   readonly backendId: string;
@@ -278,9 +280,8 @@
   }
 
   #wait(key: string, ask: PlaceAsk, asker: Asker, nowMs: number): Placement {
-    const workMs = this.#typicalWorkMs(ask);
     const expectedWaitMs = this.#expectedWaitMs(ask, nowMs);
-    const uselessAtMs = nowMs + ask.leftMs - workMs;
+    const uselessAtMs = nowMs + ask.leftMs - this.#times(ask.routeId).quantileMs(usefulShare);
     if (nowMs + expectedWaitMs > uselessAtMs) {
       const retryAfterMs = Math.max(shortestRetryMs, expectedWaitMs);
       return {state: 'refused', kind: 'overloaded', retryAfterMs};
--- a/packages/core/src/placement/serverTrust.ts
+++ b/packages/core/src/placement/serverTrust.ts
@@ -36,14 +36,12 @@
  * Doubt that each end of an attempt adds, as a logarithm of odds: how much likelier it is from a faulty
  * server than from a sound one. A sound server fails about one request in 80.
  */
-const doubtByEnd: Readonly<Record<WorkOutcome, number>> = {
+const doubtByEnd: Readonly<Record<Exclude<WorkOutcome, 'timeout' | 'cancelled'>, number>> = {
   ok: 0,
   error: 3,
-  timeout: 5,
   lost: 3.5,
   unreachable: 1,
   shed: 2.5,
-  cancelled: 0,
   misdirected: 20,
 };
 
@@ -106,8 +104,9 @@
       return;
     }
     const ageMs = nowMs - attempt.startedAtMs;
-    const ageDoubt = outcome === 'cancelled' ? this.#ageDoubt(attempt, ageMs, shareAbove) : 0;
-    const added = Math.max(doubtByEnd[outcome], ageDoubt);
+    // An attempt that was cut before its usual time was over says little, whoever cut it.
+    const isCut = outcome === 'cancelled' || outcome === 'timeout';
+    const added = isCut ? this.#ageDoubt(attempt, ageMs, shareAbove) : doubtByEnd[outcome];
     if (silentEnds.has(outcome)) {
       this.#noteSilence(attempt, added, nowMs);
       return;
