--- a/packages/bench/src/__tests__/grayPlacement.test.ts
+++ b/packages/bench/src/__tests__/grayPlacement.test.ts
@@ -186,6 +186,44 @@
   });
 });
 
+describe('servers that reject part of their work', () => {
+  before(async () => {
+    hash = await loadXxHash();
+  });
+
+  it('go on getting work when all of them do so', () => {
+    const fleet = grayFleet(hash, {seed: 12, errorShare: 0});
+    fleet.queue.runUntil(settleMs);
+    for (const server of fleet.servers.values()) {
+      server.mode = 'shedding';
+      server.spoiledShare = 0.5;
+    }
+    grayLoad(fleet, {forMs: 10_000});
+    fleet.queue.runUntil(settleMs + 13_000);
+    const {servedShare, doubtfulShare} = summarise(fleet.outcomes);
+    expect(servedShare).to.be.above(0.55);
+    expect(doubtfulShare).to.be.below(0.01);
+  });
+
+  it('do not keep work waiting when all are silent: it is refused at once', () => {
+    const fleet = grayFleet(hash, {seed: 13, errorShare: 0});
+    fleet.queue.runUntil(settleMs);
+    for (const server of fleet.servers.values()) {
+      server.mode = 'silent';
+      server.spoiledShare = 1;
+    }
+    grayLoad(fleet, {forMs: 8_000, mix: {payment: 1}});
+    fleet.queue.runUntil(settleMs + 11_000);
+    const refused = fleet.outcomes.filter(({refusal}) => refusal === 'no-server');
+    expect(refused.length).to.be.above(fleet.outcomes.length / 3);
+    for (const {outcome, retryAfterMs, tookMs} of refused) {
+      expect(outcome).to.equal('not-run');
+      expect(retryAfterMs).to.be.above(0);
+      expect(tookMs).to.be.below(1_300);
+    }
+  });
+});
+
 describe('repeats while half of the servers fail', () => {
   before(async () => {
     hash = await loadXxHash();
--- a/packages/bench/src/gray/grayFleet.ts
+++ b/packages/bench/src/gray/grayFleet.ts
@@ -127,6 +127,7 @@
       dataCentre,
       bornMs: 1_000_000 + this.queue.nowMs,
       seedIds: [this.hostId(1), this.hostId(2), this.hostId(3)],
+      isFirstStart: this.queue.nowMs === 0,
       bounds,
       random: new SeededRandom(seed * 1_000 + number + Math.floor(this.queue.nowMs)),
       hash,
--- a/packages/core/src/host/selfFoundCore.ts
+++ b/packages/core/src/host/selfFoundCore.ts
@@ -18,6 +18,8 @@
   /** Unix time of the start of this process, in ms. */
   readonly bornMs: number;
   readonly seedIds: readonly string[];
+  /** True where the whole fleet starts for the first time, before callers come. */
+  readonly isFirstStart: boolean;
   readonly bounds: FleetBounds;
   readonly random: RandomSource;
   readonly hash: HashFunction;
@@ -28,11 +30,11 @@
 
 /** Decisions of a host in a fleet whose hosts find each other and whose servers register themselves. */
 export function createSelfFoundCore(options: SelfFoundCoreOptions): HostCore {
-  const {selfId, dataCentre, bornMs, seedIds, bounds, random, hash} = options;
+  const {selfId, dataCentre, bornMs, seedIds, isFirstStart, bounds, random, hash} = options;
   const firstNonce = 1 + random.below(nonceSpace);
   const tasks = [
     new RosterTask({selfId, dataCentre, bornMs, seedIds, random}),
-    new RegistryTask({selfId, dataCentre, hash, bounds, firstNonce}),
+    new RegistryTask({selfId, dataCentre, hash, bounds, firstNonce, isFirstStart}),
     new PlacementHomeTask({selfId, bounds}),
     new QuotaHomeTask({selfId, dataCentre, hash, bounds}),
     new QuotaEntryTask({hash, bounds, firstNonce}),
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -46,6 +46,15 @@
  */
 const acceptedRiskAtFirst = 0.2;
 const acceptedRiskAtLast = 0.7;
+/** Work waits for a better server only where one is better by this factor and this much. */
+const worthWaitingFactor = 1.5;
+const worthWaitingRisk = 0.05;
+/** Risk above which work that may run once is refused at once if no server is better. */
+const hopelessRisk = 0.85;
+/** Time after which a hopeless server may be tried by any work, in ms, so that it is not forgotten. */
+const hopelessRestMs = 1_000;
+/** Wait told to a caller where no server can be trusted, in ms: half of the time in which doubt halves. */
+const hopelessRetryMs = 1_000;
 /** Part of the time for waiting after which the last risk is accepted. */
 const patienceShare = 0.6;
 /**
@@ -177,18 +186,37 @@
     if (chosen === undefined) {
       return undefined;
     }
-    const isTooRisky = chosen.risk > this.#acceptedRisk(ask, arrivedAtMs, nowMs);
-    if (!isTrialAllowed && isTooRisky) {
+    if (!isTrialAllowed && !this.#isAccepted(chosen, ask, arrivedAtMs, nowMs)) {
       return undefined;
     }
     return this.#grant(key, ask, asker, chosen, nowMs);
   }
 
-  /** Risk that is accepted for work that may run once, growing with its wait. */
-  #acceptedRisk(ask: PlaceAsk, arrivedAtMs: number, nowMs: number): number {
+  /** True where work that may run once should start on this server rather than wait for another. */
+  #isAccepted(
+    {risk, lastStartMs}: PlacementCandidate,
+    ask: PlaceAsk,
+    arrivedAtMs: number,
+    nowMs: number,
+  ): boolean {
+    const best = this.#bestRisk(nowMs);
+    if (best > hopelessRisk) {
+      return nowMs - lastStartMs >= hopelessRestMs;
+    }
     const patienceMs = Math.max(1, (ask.leftMs - this.#typicalWorkMs(ask)) * patienceShare);
     const passed = Math.min(1, (nowMs - arrivedAtMs) / patienceMs);
-    return acceptedRiskAtFirst + (acceptedRiskAtLast - acceptedRiskAtFirst) * passed;
+    const byWait = acceptedRiskAtFirst + (acceptedRiskAtLast - acceptedRiskAtFirst) * passed;
+    const byOthers = Math.min(hopelessRisk, best * worthWaitingFactor + worthWaitingRisk);
+    return risk <= Math.max(byWait, byOthers);
+  }
+
+  /** Least risk among the servers in service, with a free slot or without. */
+  #bestRisk(nowMs: number): number {
+    let best = 1;
+    for (const {id} of this.#servers) {
+      best = Math.min(best, this.#trust(id).risk(nowMs, this.#shareAbove));
+    }
+    return best;
   }
 
   /** Takes the end of an attempt; false where it is unknown here. */
@@ -280,6 +308,9 @@
   }
 
   #wait(key: string, ask: PlaceAsk, asker: Asker, nowMs: number): Placement {
+    if (this.#bestRisk(nowMs) > hopelessRisk) {
+      return {state: 'refused', kind: 'no-server', retryAfterMs: hopelessRetryMs};
+    }
     const expectedWaitMs = this.#expectedWaitMs(ask, nowMs);
     const uselessAtMs = nowMs + ask.leftMs - this.#times(ask.routeId).quantileMs(usefulShare);
     if (nowMs + expectedWaitMs > uselessAtMs) {
--- a/packages/core/src/placement/serverTrust.ts
+++ b/packages/core/src/placement/serverTrust.ts
@@ -27,6 +27,7 @@
 /** Doubt from which a former proof is void. */
 const voidingDoubt = 2;
 const maxDoubt = 6;
+const maxShedDoubt = 1.5;
 /** Time for which a host does not use a server that it could not reach or that was silent to it, in ms. */
 const pairAvoidanceMs = 9_000;
 const rateWindowMs = 1_000;
@@ -41,7 +42,7 @@
   error: 3,
   lost: 3.5,
   unreachable: 1,
-  shed: 2.5,
+  shed: 0.7,
   misdirected: 20,
 };
 
@@ -112,7 +113,9 @@
       return;
     }
     this.#decay(nowMs);
-    this.#wrongness = Math.min(maxDoubt, this.#wrongness + added);
+    // A shed request has not run and may go elsewhere: however often, it makes a server less than hopeless.
+    const most = outcome === 'shed' ? Math.max(this.#wrongness, maxShedDoubt) : maxDoubt;
+    this.#wrongness = Math.min(most, this.#wrongness + added);
   }
 
   /** Silence speaks against the path of the host and, unless the server answered others since, the server. */
--- a/packages/core/src/placement/surestServer.ts
+++ b/packages/core/src/placement/surestServer.ts
@@ -1,7 +1,7 @@
 import type {PlacementCandidate, PlacementPolicy, PlacementSituation} from './placementPolicy.ts';
 
-/** Risk that a new connection is worth avoiding at, as a likelihood: it costs a fiftieth of a request. */
-const newConnectionCost = 0.012;
+/** Risk that a new connection is worth avoiding at, as a likelihood: operators price it at a thirtieth of a request. */
+const newConnectionCost = 0.03;
 /** The same for a server in another data centre, whose bytes are paid for. */
 const remoteCost = 0.003;
 /** The same for each attempt that runs there: a fault would take both. */
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -19,6 +19,8 @@
   readonly answerTimeoutMs: number;
   /** Age from which a peer's word counts as old and the next source is tried, in ms. Default: 2,200. */
   readonly oldAfterMs: number;
+  /** True where the whole fleet starts for the first time, before callers come. Default: false. */
+  readonly isFirstStart: boolean;
   /** Part of the key withdrawal bound kept for the way of a request, in ms. Default: 600. */
   readonly marginMs: number;
 }
@@ -28,6 +30,7 @@
   askIntervalMs: 700,
   answerTimeoutMs: 300,
   oldAfterMs: 2_200,
+  isFirstStart: false,
   marginMs: 600,
 } as const;
 
@@ -146,9 +149,13 @@
     ];
   }
 
-  /** A fresh process first listens for others, so that a fleet that starts does not read as one. */
+  /**
+   * A fleet that starts before its callers first finds itself, so that it does not read as one; callers wait
+   * for a process that starts later, which reads at once.
+   */
   #mayStart(nowMs: number): boolean {
-    if (this.#confirmedAtMs > 0 || this.#startedAtMs === undefined) {
+    const {isFirstStart} = this.#options;
+    if (!isFirstStart || this.#confirmedAtMs > 0 || this.#startedAtMs === undefined) {
       return true;
     }
     if (this.#firstContactAtMs === undefined) {
--- a/packages/proxy/src/host/fleetHost.ts
+++ b/packages/proxy/src/host/fleetHost.ts
@@ -30,6 +30,8 @@
   readonly dataCentre: string;
   /** Addresses of the peer ports of some hosts of the fleet; they may be stale or down. */
   readonly seedIds: readonly string[];
+  /** True where the whole fleet starts for the first time, before callers come. */
+  readonly isFirstStart: boolean;
   readonly bounds: FleetBounds;
   /** Path at which a load balancer asks whether the host is ready. */
   readonly readinessPath: string;
@@ -60,6 +62,8 @@
 const endMarginMs = 500;
 /** Limits on callers before the first document, as usual for web servers. */
 const firstLimits = {maxHeadBytes: 65_536, headTimeoutMs: 10_000, idleTimeoutMs: 15_000};
+/** Wait before a broken link to a peer is opened again, in ms: a process that starts is there in a second. */
+const reconnectMs = 100;
 const bodyIdleTimeoutMs = 5_000;
 const metricsIntervalMs = 10_000;
 
@@ -88,10 +92,19 @@
     const count: MetricsTask['count'] = (name, tags) => {
       this.#metrics.count(name, tags);
     };
-    const {dataCentre, bornMs, seedIds, bounds, hash, seed} = options;
+    const {dataCentre, bornMs, seedIds, isFirstStart, bounds, hash, seed} = options;
     const random = new SeededRandom(seed);
     this.#runner = new CoreRunner({
-      core: createSelfFoundCore({selfId, dataCentre, bornMs, seedIds, bounds, random, hash}),
+      core: createSelfFoundCore({
+        selfId,
+        dataCentre,
+        bornMs,
+        seedIds,
+        isFirstStart,
+        bounds,
+        random,
+        hash,
+      }),
       timers,
       dispatch: (effect) => {
         this.#dispatch(effect);
@@ -126,6 +139,7 @@
     this.#peers = new PeerTask({
       selfId,
       ...listen(addresses.peers),
+      reconnectMs,
       report: (report) => {
         this.#onPeerReport(report);
       },
