--- a/packages/core/src/__tests__/placement.test.ts
+++ b/packages/core/src/__tests__/placement.test.ts
@@ -61,6 +61,15 @@
     expect(trust.risk(9_000, usual)).to.be.below(0.7);
   });
 
+  it('falls to next to nothing when two hosts can not reach the server, not when one can not', () => {
+    const trust = new ServerTrust();
+    trust.end({...attempt(0), hostId: 'one'}, 'ok', 100, usual);
+    trust.end({...attempt(200), hostId: 'one'}, 'unreachable', 300, usual);
+    expect(trust.risk(310, usual)).to.be.below(0.1);
+    trust.end({...attempt(200), hostId: 'two'}, 'unreachable', 320, usual);
+    expect(trust.risk(330, usual)).to.be.above(0.7);
+  });
+
   it('keeps a host away from a server that was silent to it, and other hosts not', () => {
     const trust = new ServerTrust();
     trust.end(attempt(0), 'timeout', 1_000, usual);
--- a/packages/core/src/placement/serverTrust.ts
+++ b/packages/core/src/placement/serverTrust.ts
@@ -28,6 +28,9 @@
 const voidingDoubt = 2;
 const maxDoubt = 6;
 const maxShedDoubt = 1.5;
+/** Doubt in a server that two hosts could not reach: it is down rather than cut off from one of them. */
+const downDoubt = 4;
+const downMemoryMs = 1_500;
 /** Time for which a host does not use a server that it could not reach or that was silent to it, in ms. */
 const pairAvoidanceMs = 9_000;
 const rateWindowMs = 1_000;
@@ -69,6 +72,8 @@
   #silentSinceMs = Number.NEGATIVE_INFINITY;
   readonly #startsMs: number[] = [];
   readonly #avoidedUntilMs = new Map<string, number>();
+  /** When each host last failed to reach the server, in ms. */
+  readonly #unreachedAtMs = new Map<string, number>();
 
   /** Start of the newest attempt that ended well, in ms. */
   get provenAtMs(): number {
@@ -107,7 +112,11 @@
     const ageMs = nowMs - attempt.startedAtMs;
     // An attempt that was cut before its usual time was over says little, whoever cut it.
     const isCut = outcome === 'cancelled' || outcome === 'timeout';
-    const added = isCut ? this.#ageDoubt(attempt, ageMs, shareAbove) : doubtByEnd[outcome];
+    let added = isCut ? this.#ageDoubt(attempt, ageMs, shareAbove) : doubtByEnd[outcome];
+    if (outcome === 'unreachable') {
+      this.#unreachedAtMs.set(attempt.hostId, nowMs);
+      added = this.#isDown(nowMs) ? downDoubt : added;
+    }
     if (silentEnds.has(outcome)) {
       this.#noteSilence(attempt, added, nowMs);
       return;
@@ -118,6 +127,20 @@
     this.#wrongness = Math.min(most, this.#wrongness + added);
   }
 
+  /** True where two hosts could not reach the server lately and none was answered since. */
+  #isDown(nowMs: number): boolean {
+    const sinceMs = Math.max(this.#provenAtMs, nowMs - downMemoryMs);
+    let hosts = 0;
+    for (const [hostId, atMs] of this.#unreachedAtMs) {
+      if (atMs <= sinceMs) {
+        this.#unreachedAtMs.delete(hostId);
+        continue;
+      }
+      hosts += 1;
+    }
+    return hosts > 1;
+  }
+
   /** Silence speaks against the path of the host and, unless the server answered others since, the server. */
   #noteSilence({hostId, startedAtMs}: RunningAttempt, added: number, nowMs: number): void {
     if (added >= doubtByEnd.unreachable) {
