--- a/packages/core/src/quota/quotaEntryTask.ts
+++ b/packages/core/src/quota/quotaEntryTask.ts
@@ -20,7 +20,10 @@
 
 export const DEFAULT_QUOTA_ENTRY_OPTIONS = {answerTimeoutMs: 120} as const;
 
-interface Verdict {readonly isGranted: boolean; readonly retryAfterMs: number | undefined}
+interface Verdict {
+  readonly isGranted: boolean;
+  readonly retryAfterMs: number | undefined;
+}
 
 interface Ask {
   readonly requestId: number;
