Take SIGHUP, notice suspensions, answer hosts that are not listed, survive what no part expected

Cause: SIGHUP ended the process; a home could not answer a host that was leaving or new, since links go to listed hosts; a suspension that the clock does not count left an old view fresh; a header that can't be written ended the process. Change: seeds are read again on SIGHUP; hosts whose ids are addresses can be answered without a list; the time of day shows lost time, by which a view ages; unexpected failures are logged and counted, and the host goes on.

--- a/packages/core/src/messages/coreMessage.ts
+++ b/packages/core/src/messages/coreMessage.ts
@@ -23,6 +23,8 @@
   host.registryUnreadableSchema,
   host.leavingSoonSchema,
   host.peerAbsentSchema,
+  host.timeLostSchema,
+  host.seedsChangedSchema,
   request.serverConnectionsSchema,
 ]);
 
--- a/packages/core/src/messages/hostMessages.ts
+++ b/packages/core/src/messages/hostMessages.ts
@@ -235,3 +235,15 @@
   type: z.literal('peerAbsent'),
   hostId: z.string(),
 });
+
+/** The time of day ran ahead of the host's clock, as after a suspension that the clock does not count. */
+export const timeLostSchema = z.object({
+  type: z.literal('timeLost'),
+  lostMs: z.number().positive(),
+});
+
+/** The settings name other hosts by which the fleet may be found. */
+export const seedsChangedSchema = z.object({
+  type: z.literal('seedsChanged'),
+  seedIds: z.array(z.string()),
+});
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -67,6 +67,7 @@
     'registryUnreadable',
     'rosterChanged',
     'peerMessageReceived',
+    'timeLost',
     'timerFired',
     'statusWanted',
   ] as const;
@@ -107,6 +108,11 @@
         return this.#onUnreadable(message.reason, nowMs);
       case 'peerMessageReceived':
         return this.#onPeer(message.fromHostId, message.message, nowMs);
+      case 'timeLost': {
+        this.#confirmedAtMs -= message.lostMs;
+        const fields = {lostMs: Math.round(message.lostMs)};
+        return [{type: 'log', level: 'warn', event: 'host.timeLost', fields}, ...this.#tellFresh()];
+      }
       case 'statusWanted': {
         const value = {
           version: this.#view.document?.version ?? 0,
--- a/packages/core/src/roster/rosterTask.ts
+++ b/packages/core/src/roster/rosterTask.ts
@@ -43,6 +43,7 @@
   readonly accepts = [
     'peerMessageReceived',
     'peerAbsent',
+    'seedsChanged',
     'timerFired',
     'leavingSoon',
     'statusWanted',
@@ -54,9 +55,11 @@
   #round = 0;
   #lastTold = '';
   #live: readonly LiveHost[] = [];
+  #seedIds: readonly string[];
 
   constructor(options: Partial<RosterTaskOptions> & RequiredRosterOptions) {
     this.#options = {...DEFAULT_ROSTER_OPTIONS, ...options};
+    this.#seedIds = options.seedIds;
     this.#table = new RosterTable(options, this.#options.table);
   }
 
@@ -69,6 +72,9 @@
       case 'peerAbsent':
         this.#table.noteAbsent(message.hostId);
         return this.#tellChange(nowMs);
+      case 'seedsChanged':
+        this.#seedIds = message.seedIds;
+        return [this.#link(this.#live)];
       case 'leavingSoon':
         this.#table.leave();
         return [...this.#tellAll(nowMs), ...this.#tellChange(nowMs)];
@@ -117,8 +123,8 @@
 
   /** A seed while the host is new or knows nobody, else a random host that lives. */
   #target(isNew: boolean): string | undefined {
-    const {selfId, seedIds, dataCentre, random, remoteEvery} = this.#options;
-    const seeds = seedIds.filter((id) => id !== selfId);
+    const {selfId, dataCentre, random, remoteEvery} = this.#options;
+    const seeds = this.#seedIds.filter((id) => id !== selfId);
     const others = this.#live.filter(({hostId}) => hostId !== selfId);
     const asksSeed = others.length === 0 || (isNew && this.#round % 2 === 1);
     if (asksSeed && seeds.length > 0) {
@@ -169,7 +175,7 @@
 
   /** Keeps links to hosts that live and to seeds. */
   #link(live: readonly LiveHost[]): CoreMessage {
-    const ids = new Set([...live.map(({hostId}) => hostId), ...this.#options.seedIds]);
+    const ids = new Set([...live.map(({hostId}) => hostId), ...this.#seedIds]);
     const hosts = [...ids].map((id) => ({
       id,
       dataCentre: '',
--- a/packages/peer/src/peerTask.ts
+++ b/packages/peer/src/peerTask.ts
@@ -27,6 +27,8 @@
   readonly maxMessageBytes: number;
   /** Messages kept for a link that is being opened. Default: 64. */
   readonly maxQueuedMessages: number;
+  /** True where a host's id is its address, so that hosts that are not listed can be answered. Default: false. */
+  readonly areIdsAddresses: boolean;
   /** Wait before a broken link is opened again, in ms. Default: 500. */
   readonly reconnectMs: number;
   readonly report: (report: PeerReport) => void;
@@ -36,6 +38,7 @@
   sharedSecret: undefined,
   maxMessageBytes: 2_097_152,
   maxQueuedMessages: 64,
+  areIdsAddresses: false,
   reconnectMs: 500,
 } as const;
 
@@ -203,7 +206,8 @@
   }
 
   #open(toHostId: string): Link | undefined {
-    const address = this.#addresses.get(toHostId);
+    const {areIdsAddresses} = this.#options;
+    const address = this.#addresses.get(toHostId) ?? (areIdsAddresses ? toHostId : undefined);
     const closedAtMs = this.#closedAtMs.get(toHostId) ?? Number.NEGATIVE_INFINITY;
     if (address === undefined || performance.now() - closedAtMs < this.#options.reconnectMs) {
       return undefined;
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -295,8 +295,8 @@
     if (answer === undefined) {
       return;
     }
-    outgoing.writeHead(answer.status, {...answer.headers, [this.#nameHeader]: publicId});
     try {
+      outgoing.writeHead(answer.status, {...answer.headers, [this.#nameHeader]: publicId});
       const keep = new AnswerKeeper(answer.status, answer.headers['content-type']);
       await (this.#mustKeep(exchange)
         ? pipeline(answer.body, keep, outgoing)
--- a/packages/proxy/src/host/fleetHost.ts
+++ b/packages/proxy/src/host/fleetHost.ts
@@ -13,6 +13,7 @@
 import {ReadinessTask} from '../readiness/readinessTask.ts';
 import type {RegistrySource} from '../registry/registrySource.ts';
 import {RegistryWatchTask} from '../registry/registryWatchTask.ts';
+import {ClockWatch} from '../timer/clockWatch.ts';
 import type {TimerService} from '../timer/timerService.ts';
 import {CoreRunner} from './coreRunner.ts';
 import {splitAddress} from './splitAddress.ts';
@@ -42,6 +43,8 @@
   readonly timers: TimerService;
   /** Unix time of the start of the process, in ms. */
   readonly bornMs: number;
+  /** Time of day, in ms. */
+  readonly wallMs: () => number;
   readonly log: Logger;
   readonly hash: HashFunction;
   /** Seed of all random choices of this host. */
@@ -79,6 +82,7 @@
   readonly #registry: RegistryWatchTask;
   readonly #readiness: ReadinessTask;
   readonly #admin: AdminTask;
+  readonly #clockWatch: ClockWatch;
 
   constructor(options: FleetHostOptions) {
     this.#options = options;
@@ -140,6 +144,7 @@
       selfId,
       ...listen(addresses.peers),
       reconnectMs,
+      areIdsAddresses: true,
       report: (report) => {
         this.#onPeerReport(report);
       },
@@ -150,6 +155,7 @@
       path: options.readinessPath,
       isReady: () => this.#runner.status().requests?.isReady === true,
     });
+    this.#clockWatch = new ClockWatch({timers, wallMs: options.wallMs, tell});
     this.#admin = new AdminTask({
       ...listen(addresses.admin),
       counters: () => this.#metrics.counters.snapshot(),
@@ -158,11 +164,25 @@
     });
   }
 
+  /** Takes over what may change in the settings of a host that runs. */
+  reload(seedIds: readonly string[]): void {
+    this.#runner.tell({type: 'seedsChanged', seedIds: [...seedIds]});
+    this.#log.write('info', 'host.reloaded', {seedIds});
+  }
+
+  /** Takes a failure that no part of the host expected; the host goes on for its other requests. */
+  noteUnexpected(error: unknown): void {
+    const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    this.#metrics.count('host.unexpected');
+    this.#log.write('error', 'host.unexpected', {reason});
+  }
+
   async start(): Promise<void> {
     await this.#admin.start();
     await this.#peers.start();
     await this.#callers.start();
     await this.#readiness.start();
+    this.#clockWatch.start();
     this.#runner.tell({type: 'timerFired', timerId: 'start'});
     const {addresses, dataCentre, seedIds, bornMs} = this.#options;
     this.#log.write('info', 'host.started', {addresses, dataCentre, seedIds, bornMs});
@@ -184,6 +204,7 @@
   }
 
   async #close(): Promise<void> {
+    this.#clockWatch.stop();
     this.#callers.stop();
     this.#readiness.stop();
     this.#admin.stop();
