Try servers with an open connection first

Change: where many servers are to be proven, those to which the host has an open connection are tried first.

--- a/packages/core/src/__tests__/placement.test.ts
+++ b/packages/core/src/__tests__/placement.test.ts
@@ -103,6 +103,15 @@
     expect(trial.choose(candidates, situation)?.serverId).to.equal('b');
   });
 
+  it('tries servers with an open connection first, where many are to be proven', () => {
+    const candidates = [
+      candidate('a', {risk: 0.25, lastStartMs: 1_000}),
+      candidate('b', {risk: 0.25, lastStartMs: 5_000, isConnected: true}),
+    ];
+    const trial = new TrialServer(new SurestServer());
+    expect(trial.choose(candidates, situation)?.serverId).to.equal('b');
+  });
+
   it('tries nothing while the fleet has no repeats to spare', () => {
     const candidates = [candidate('a', {risk: 0.01}), candidate('b', {risk: 0.25})];
     const trial = new TrialServer(new SurestServer());
--- a/packages/core/src/placement/trialServer.ts
+++ b/packages/core/src/placement/trialServer.ts
@@ -7,6 +7,8 @@
 /** Share of the servers that should be proven and free, so that work that may run once finds one. */
 const wantedProvenShare = 0.25;
 const leastProven = 2;
+/** Time by which an open connection puts a server before others, in ms: as long as one stays open unused. */
+const connectedHeadStartMs = 8_000;
 /** Interval between trials while enough servers are proven, in ms: each of 40 servers every 12 s. */
 const trialIntervalMs = 300;
 
@@ -38,7 +40,7 @@
     if (!isShort && nowMs - this.#lastTrialMs < trialIntervalMs) {
       return this.#surest.choose(candidates, situation);
     }
-    const tried = this.#leastKnown(candidates, nowMs);
+    const tried = this.#leastKnown(candidates, isShort, nowMs);
     if (tried === undefined) {
       return this.#surest.choose(candidates, situation);
     }
@@ -46,19 +48,27 @@
     return tried;
   }
 
-  /** Of the servers that are neither proven nor tried just now, the one that was left alone for longest. */
+  /**
+   * Of the servers that are neither proven nor tried just now, the one that was left alone for longest; where
+   * many are to be proven, first those to which a connection is open.
+   */
   #leastKnown(
     candidates: readonly PlacementCandidate[],
+    isShort: boolean,
     nowMs: number,
   ): PlacementCandidate | undefined {
     let best: PlacementCandidate | undefined;
+    let bestAloneMs = 0;
     for (const candidate of candidates) {
-      const {risk, running, lastStartMs} = candidate;
-      if (risk < provenBelow || running > 0 || nowMs - lastStartMs < restMs) {
+      const {risk, running, lastStartMs, isConnected} = candidate;
+      const aloneMs = nowMs - lastStartMs;
+      if (risk < provenBelow || running > 0 || aloneMs < restMs) {
         continue;
       }
-      if (best === undefined || lastStartMs < best.lastStartMs) {
+      const countedMs = aloneMs + (isShort && isConnected ? connectedHeadStartMs : 0);
+      if (best === undefined || countedMs > bestAloneMs) {
         best = candidate;
+        bestAloneMs = countedMs;
       }
     }
     return best;
