--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -1,6 +1,6 @@
 import type {FleetDocument} from '@godwitspring/document';
 import {answerTable} from '../errors/answerTable.ts';
-import type {ErrorKind, Outcome} from '../errors/errorKinds.ts';
+import type {ErrorKind} from '../errors/errorKinds.ts';
 import type {CoreTask} from '../host/coreTask.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
 import type {KeptAnswer} from '../messages/peerMessages.ts';
@@ -11,9 +11,27 @@
 import type {RandomSource} from '../time/randomSource.ts';
 import {SeededRandom} from '../time/seededRandom.ts';
 import {admitRequest, requestKey} from './admitRequest.ts';
+import {
+  causeByOutcome,
+  failureOutcome,
+  kindByFailure,
+  workOutcomeByFailure,
+} from './attemptEnds.ts';
 import {cancelOthers, endRequest} from './endRequest.ts';
 import {releaseServer, withdrawRequest} from './releaseServer.ts';
 import type {AttemptState, GrantedServer, RequestState} from './requestState.ts';
+import {
+  countFor,
+  refuseAtOnce,
+  reportAnswered,
+  reportAttemptFailed,
+  reportCallerLeft,
+  reportDelivering,
+  reportNotAdmitted,
+  reportRefused,
+  reportStarted,
+} from './requestReport.ts';
+import type {RefusalOptions} from './requestReport.ts';
 import {RetryBudgets} from './retryBudgets.ts';
 import type {RetryCause, RetryGuard} from './retryGuard.ts';
 import {startAttempt} from './startAttempt.ts';
@@ -39,41 +57,6 @@
 const maxLosses = 2;
 /** Servers that one request may fail to reach before it is refused, besides its attempts. */
 const maxUnreached = 2;
-const gatewayTimeoutStatus = 504;
-
-interface RefusalOptions {
-  readonly retryAfterMs?: number | undefined;
-  readonly outcome?: Outcome | undefined;
-}
-
-const kindByFailure: Readonly<Record<AttemptFailure, ErrorKind>> = {
-  connect: 'connect-failed',
-  lost: 'answer-lost',
-  timeout: 'answer-timeout',
-  malformed: 'answer-malformed',
-  caller: 'caller-too-slow',
-  'body-limit': 'body-too-large',
-};
-
-const workOutcomeByFailure: Readonly<Record<AttemptFailure, WorkOutcome>> = {
-  connect: 'unreachable',
-  lost: 'lost',
-  timeout: 'timeout',
-  malformed: 'lost',
-  caller: 'cancelled',
-  'body-limit': 'cancelled',
-};
-
-const causeByOutcome: Readonly<Partial<Record<WorkOutcome, RetryCause>>> = {
-  unreachable: 'unreachable',
-  shed: 'shed',
-  misdirected: 'shed',
-};
-
-/** A server that gave up at the deadline was silent until then. */
-function failureOutcome(status: number): WorkOutcome {
-  return status === gatewayTimeoutStatus ? 'timeout' : 'error';
-}
 
 /** Leads each request from its arrival to its answer or refusal; decides on retries. */
 export class RequestTask implements CoreTask {
@@ -202,7 +185,7 @@
   }
 
   #onArrived(message: RequestArrived, nowMs: number): readonly CoreMessage[] {
-    const {requestId, requestName = '', host, path, method} = message;
+    const {requestId} = message;
     const request = admitRequest(message, {
       index: this.#index,
       isFresh: nowMs <= this.#freshUntilMs,
@@ -214,19 +197,11 @@
       nowMs,
     });
     if (typeof request === 'string') {
-      const fields = {
-        requestName,
-        kind: request,
-        host,
-        path,
-        method,
+      const view = {
         version: this.#index?.document.version,
-        freshForMs: Math.round(this.#freshUntilMs - nowMs),
+        freshForMs: this.#freshUntilMs - nowMs,
       };
-      return [
-        ...this.#refuseAtOnce(requestId, request),
-        {type: 'log', level: 'warn', event: 'request.notAdmitted', fields},
-      ];
+      return [...refuseAtOnce(requestId, request), reportNotAdmitted(message, request, view)];
     }
     this.#requests.set(requestId, request);
     this.#options.retryGuard.earn();
@@ -300,21 +275,8 @@
 
   #start(request: RequestState, granted: GrantedServer, nowMs: number): readonly CoreMessage[] {
     const started = startAttempt(request, granted, nowMs);
-    const {requestId, requestName, isIdempotent, isReplayable} = request;
-    const fields = {
-      requestName,
-      attempt: started.attempt,
-      serverId: granted.serverId,
-      sinceArrivalMs: Math.round(nowMs - request.arrivedAtMs),
-      leftMs: Math.round(started.timeoutMs),
-      beside: request.running.size - 1,
-    };
-    const waitedMs = nowMs - request.arrivedAtMs;
-    const messages: CoreMessage[] = [
-      started,
-      this.#observe('attempt.wait', request, `attempt ${started.attempt}`, waitedMs),
-      {type: 'log', level: 'info', event: 'attempt.started', fields},
-    ];
+    const {requestId, isIdempotent, isReplayable} = request;
+    const messages: CoreMessage[] = [started, ...reportStarted(request, started, nowMs)];
     const {secondAfterMs} = granted;
     if (secondAfterMs !== undefined && isIdempotent && isReplayable && request.running.size === 1) {
       const timerId = `${secondPrefix}${requestId}:${started.attempt}`;
@@ -332,7 +294,7 @@
   ): readonly CoreMessage[] {
     if (request.running.size > 0 && request.isSecondWanted) {
       request.isSecondWanted = false;
-      return [this.#count('second.refused', request)];
+      return [countFor('second.refused', request)];
     }
     return this.#refuse(request, kind, nowMs, {retryAfterMs});
   }
@@ -398,32 +360,23 @@
 
   #deliver(
     request: RequestState,
-    {attempt, serverId, headLatencyMs}: AttemptState,
+    running: AttemptState,
     status: number,
     nowMs: number,
   ): readonly CoreMessage[] {
-    const {requestId, requestName} = request;
-    const isFailure = status >= 500;
+    const {requestId} = request;
+    const {attempt} = running;
     request.phase = 'delivering';
-    request.serverFailure = isFailure ? failureOutcome(status) : undefined;
-    const fields = {
-      requestName,
-      route: request.route.id,
-      customer: request.customerId,
-      attempt,
-      serverId,
-      status,
-      latencyMs: Math.round(headLatencyMs ?? 0),
-      totalMs: Math.round(nowMs - request.arrivedAtMs),
-    };
+    request.serverFailure = status >= 500 ? failureOutcome(status) : undefined;
     const messages: CoreMessage[] = [
       ...cancelOthers(request, attempt, nowMs),
       ...(request.isSecondWanted ? withdrawRequest(request) : []),
       {type: 'deliverAnswer', requestId, attempt},
-      {type: 'log', level: isFailure ? 'warn' : 'info', event: 'request.delivering', fields},
+      reportDelivering(request, running, status, nowMs),
     ];
     request.isSecondWanted = false;
-    return isFailure ? [...messages, this.#count('server.error', request)] : messages;
+    const isFailure = request.serverFailure !== undefined;
+    return isFailure ? [...messages, countFor('server.error', request)] : messages;
   }
 
   #onFailed(
@@ -494,14 +447,11 @@
     reason: string,
     nowMs: number,
   ): readonly CoreMessage[] {
-    const {requestId, requestName} = request;
-    const {attempt, serverId, startedAtMs} = running;
-    const ranForMs = Math.round(nowMs - startedAtMs);
-    const fields = {requestName, attempt, serverId, outcome, ranForMs};
+    const {requestId} = request;
     const messages: CoreMessage[] = [
-      {type: 'discardAnswer', requestId, attempt},
+      {type: 'discardAnswer', requestId, attempt: running.attempt},
       ...releaseServer(request, running, outcome, nowMs),
-      {type: 'log', level: 'warn', event: 'attempt.failed', fields},
+      reportAttemptFailed(request, running, outcome, nowMs),
     ];
     if (request.running.size > 0) {
       return messages;
@@ -512,7 +462,7 @@
     }
     request.isSecondWanted = false;
     request.phase = 'server';
-    return [...messages, this.#count(`retry.${reason}`, request)];
+    return [...messages, countFor(`retry.${reason}`, request)];
   }
 
   /** Tells that a request that may have crashed a server was answered well. */
@@ -544,9 +494,7 @@
       ...releaseServer(request, running, serverFailure ?? 'ok', nowMs),
       ...this.#end(request, 'ok', nowMs),
       ...(serverFailure === undefined ? this.#clear(request, nowMs) : []),
-      this.#count('request.answered', request),
-      this.#observe('request.time', request, serverFailure ?? 'ok', nowMs - request.arrivedAtMs),
-      this.#observe('attempt.time', request, serverFailure ?? 'ok', nowMs - running.startedAtMs),
+      ...reportAnswered(request, running, nowMs),
     ];
   }
 
@@ -563,7 +511,7 @@
       return this.#refuse(request, kind, nowMs);
     }
     const {requestId} = request;
-    const count = this.#count('request.replayed', request);
+    const count = countFor('request.replayed', request);
     return [
       ...this.#end(request, 'cancelled', nowMs),
       {type: 'replayAnswer', requestId, answer},
@@ -572,13 +520,8 @@
   }
 
   #onCallerLeft(request: RequestState, nowMs: number): readonly CoreMessage[] {
-    const {requestName, phase} = request;
-    const fields = {requestName, phase, afterMs: Math.round(nowMs - request.arrivedAtMs)};
-    return [
-      ...this.#end(request, 'cancelled', nowMs),
-      {type: 'log', level: 'info', event: 'request.callerLeft', fields},
-      this.#count('request.callerLeft', request),
-    ];
+    const reports = reportCallerLeft(request, nowMs);
+    return [...this.#end(request, 'cancelled', nowMs), ...reports];
   }
 
   #onTimer(timerId: string, nowMs: number): readonly CoreMessage[] {
@@ -604,7 +547,7 @@
       return [];
     }
     request.isSecondWanted = true;
-    return [this.#wantServer(request), this.#count('second.late', request)];
+    return [this.#wantServer(request), countFor('second.late', request)];
   }
 
   #onDeadline(request: RequestState, nowMs: number): readonly CoreMessage[] {
@@ -635,54 +578,14 @@
     {retryAfterMs, outcome}: RefusalOptions = {},
     workOutcome: WorkOutcome = 'cancelled',
   ): readonly CoreMessage[] {
-    const servers = [...request.running.values()].map(({serverId}) => serverId);
+    const serverIds = [...request.running.values()].map(({serverId}) => serverId);
     const ended = this.#end(request, workOutcome, nowMs);
     const told = request.hasBeenInDoubt ? 'unknown' : (outcome ?? answerTable[kind].outcome);
-    const {requestId, requestName, phase, attempt} = request;
-    const fields = {
-      requestName,
-      kind,
-      outcome: told,
-      phase,
-      attempts: attempt,
-      servers,
-      route: request.route.id,
-      customer: request.customerId,
-      retryAfterMs,
-      afterMs: Math.round(nowMs - request.arrivedAtMs),
-    };
+    const refusal = {retryAfterMs, outcome: told};
     return [
       ...ended,
-      ...this.#refuseAtOnce(requestId, kind, {retryAfterMs, outcome: told}),
-      this.#observe('request.time', request, kind, nowMs - request.arrivedAtMs),
-      {type: 'log', level: 'warn', event: 'request.refused', fields},
-    ];
-  }
-
-  #refuseAtOnce(
-    requestId: number,
-    kind: ErrorKind,
-    options: RefusalOptions = {},
-  ): readonly CoreMessage[] {
-    const {outcome, retryAfterMs} = options;
-    const answer = answerTable[kind];
-    return [
-      {
-        type: 'refuseRequest',
-        requestId,
-        kind,
-        outcome: outcome ?? answer.outcome,
-        retryAfterMs: retryAfterMs ?? answer.retryAfterMs,
-      },
-      {type: 'count', name: 'request.refused', tags: {kind}},
+      ...refuseAtOnce(request.requestId, kind, refusal),
+      ...reportRefused(request, kind, refusal, serverIds, nowMs),
     ];
   }
-
-  #observe(name: string, {route}: RequestState, outcome: string, valueMs: number): CoreMessage {
-    return {type: 'observe', name, tags: {route: route.id, outcome}, valueMs};
-  }
-
-  #count(name: string, request: RequestState): CoreMessage {
-    return {type: 'count', name, tags: {route: request.route.id}};
-  }
 }
