--- a/packages/core/src/__tests__/requestTask.test.ts
+++ b/packages/core/src/__tests__/requestTask.test.ts
@@ -107,3 +107,56 @@
     expect(refusal(late)).to.include({kind: 'host-not-current', outcome: 'not-run'});
   });
 });
+
+describe('a second attempt beside a late one', () => {
+  const second = {...granted, serverId: 's-2'};
+
+  function late(): RequestTask {
+    const task = new RequestTask({maxAttempts: 3});
+    task.receive({type: 'documentInForce', document, manifest}, 0);
+    task.receive({type: 'freshUntil', untilMs: 10_000}, 0);
+    const request = {requestId: 1, host: 'h', path: '/x', method: 'GET', keyDigest: digest};
+    task.receive({type: 'requestArrived', ...request, isReplayable: true}, 0);
+    task.receive({...granted, secondAfterMs: 100}, 1);
+    task.receive({type: 'permitGranted', requestId: 1, usableUntilMs: 1_000}, 2);
+    return task;
+  }
+
+  it('is wanted when the first is late, and only then', () => {
+    const task = late();
+    const wanted = task.receive({type: 'timerFired', timerId: 'second:1:1'}, 102);
+    expect(wanted.map(({type}) => type)).to.include('serverWanted');
+    const started = task.receive(second, 103);
+    expect(started.some(({type}) => type === 'startAttempt')).to.equal(true);
+  });
+
+  it('goes on when the first one fails, whatever was lost before', () => {
+    const task = late();
+    task.receive({type: 'timerFired', timerId: 'second:1:1'}, 102);
+    task.receive(second, 103);
+    const lost = {type: 'attemptFailed', requestId: 1, failure: 'lost', mayHaveRun: true} as const;
+    const messages = task.receive({...lost, attempt: 1}, 200);
+    expect(refusal(messages)).to.equal(undefined);
+    expect(messages.some(({type}) => type === 'cancelAttempt')).to.equal(false);
+    const answered = {type: 'attemptAnswered', requestId: 1, attempt: 2, status: 200} as const;
+    const delivered = task.receive({...answered, saidNotRun: false}, 300);
+    expect(delivered.some(({type}) => type === 'deliverAnswer')).to.equal(true);
+  });
+
+  it('leaves the first alone when no server is to be had', () => {
+    const task = late();
+    task.receive({type: 'timerFired', timerId: 'second:1:1'}, 102);
+    const refused = task.receive({type: 'serverRefused', requestId: 1, kind: 'overloaded'}, 103);
+    expect(refusal(refused)).to.equal(undefined);
+  });
+
+  it('is cancelled when the first one answers', () => {
+    const task = late();
+    task.receive({type: 'timerFired', timerId: 'second:1:1'}, 102);
+    task.receive(second, 103);
+    const answered = {type: 'attemptAnswered', requestId: 1, attempt: 1, status: 200} as const;
+    const messages = task.receive({...answered, saidNotRun: false}, 200);
+    expect(messages).to.deep.include({type: 'cancelAttempt', requestId: 1, attempt: 2});
+    expect(messages).to.deep.include({type: 'deliverAnswer', requestId: 1, attempt: 1});
+  });
+});
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -400,6 +400,9 @@
       return this.#retryOr(request, running, outcome, kind, nowMs);
     }
     request.hasBeenInDoubt = true;
+    if (request.running.size > 1) {
+      return this.#retry(request, running, outcome, kind, nowMs);
+    }
     const hasCrashedServers = message.failure === 'lost' && request.losses.length + 1 >= maxLosses;
     if (hasCrashedServers) {
       return this.#refuse(request, 'request-crashes-servers', nowMs, {}, outcome);
