Pass on answers without a length as such; leave the end of a caller's time to server and caller

Change: such answers go on without a length, ended by their connection; on the platform an attempt runs until its route's timeout, as server and caller know the caller's time.

--- a/packages/core/src/__tests__/requestTask.test.ts
+++ b/packages/core/src/__tests__/requestTask.test.ts
@@ -160,3 +160,26 @@
     expect(messages).to.deep.include({type: 'deliverAnswer', requestId: 1, attempt: 1});
   });
 });
+
+describe('an attempt that runs when the time of its caller is over', () => {
+  function withBudget(endsAtCallerDeadline: boolean): readonly CoreMessage[] {
+    const task = new RequestTask({endsAtCallerDeadline});
+    task.receive({type: 'documentInForce', document, manifest}, 0);
+    task.receive({type: 'freshUntil', untilMs: 100_000}, 0);
+    const request = {requestId: 1, host: 'h', path: '/x', method: 'POST', keyDigest: digest};
+    task.receive({type: 'requestArrived', ...request, isReplayable: true, budgetMs: 500}, 0);
+    task.receive(granted, 1);
+    task.receive({type: 'permitGranted', requestId: 1, usableUntilMs: 1_000}, 2);
+    return task.receive({type: 'timerFired', timerId: 'request:1'}, 500);
+  }
+
+  it('is ended with a refusal', () => {
+    expect(refusal(withBudget(true))).to.include({kind: 'answer-timeout', outcome: 'unknown'});
+  });
+
+  it('goes on until the timeout of its route, where server and caller know the time', () => {
+    const messages = withBudget(false);
+    expect(refusal(messages)).to.equal(undefined);
+    expect(messages).to.deep.equal([{type: 'timerWanted', timerId: 'request:1', atMs: 30_000}]);
+  });
+});
--- a/packages/core/src/host/selfFoundCore.ts
+++ b/packages/core/src/host/selfFoundCore.ts
@@ -39,7 +39,12 @@
     new QuotaHomeTask({selfId, dataCentre, hash, bounds}),
     new QuotaEntryTask({hash, bounds, firstNonce}),
     new PlacementEntryTask({selfId, hash, random, firstNonce}),
-    new RequestTask({retryGuard: new HomeRetryGuard(), isFreshnessForAll: false, random}),
+    new RequestTask({
+      retryGuard: new HomeRetryGuard(),
+      isFreshnessForAll: false,
+      endsAtCallerDeadline: false,
+      random,
+    }),
   ];
   return new HostCore({selfId, dataCentre, random, hash, tasks});
 }
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -45,6 +45,11 @@
   readonly retryGuard: RetryGuard;
   /** True where routes that are open to all need a fresh view too. Default: true. */
   readonly isFreshnessForAll: boolean;
+  /**
+   * True where a request is refused as soon as the time that its caller gave is over. False leaves it to
+   * server and caller, which both know that time, to end an attempt that runs. Default: true.
+   */
+  readonly endsAtCallerDeadline: boolean;
   /** Divides requests among the backends of a route. Default: a fixed seed. */
   readonly random: RandomSource;
 }
@@ -96,9 +101,17 @@
     minAttemptMs = 5,
     retryGuard = new RetryBudgets(),
     isFreshnessForAll = true,
+    endsAtCallerDeadline = true,
     random = new SeededRandom(1),
   }: Partial<RequestTaskOptions> = {}) {
-    this.#options = {maxAttempts, minAttemptMs, retryGuard, isFreshnessForAll, random};
+    this.#options = {
+      maxAttempts,
+      minAttemptMs,
+      retryGuard,
+      isFreshnessForAll,
+      endsAtCallerDeadline,
+      random,
+    };
   }
 
   receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
@@ -561,9 +574,15 @@
         return this.#refuse(request, 'overloaded', nowMs);
       case 'permit':
         return this.#refuse(request, 'allowance-unavailable', nowMs);
-      case 'attempt':
+      case 'attempt': {
+        const timeoutAtMs = request.arrivedAtMs + request.route.timeoutMs;
+        if (!this.#options.endsAtCallerDeadline && nowMs < timeoutAtMs) {
+          const timerId = `${timerPrefix}${request.requestId}`;
+          return [{type: 'timerWanted', timerId, atMs: timeoutAtMs}];
+        }
         request.hasBeenInDoubt = true;
         return this.#refuse(request, 'answer-timeout', nowMs, {}, 'timeout');
+      }
       case 'delivering':
         return this.#end(request, 'timeout', nowMs);
     }
--- a/packages/proxy/src/__tests__/callerPath.test.ts
+++ b/packages/proxy/src/__tests__/callerPath.test.ts
@@ -156,13 +156,34 @@
     expect(isBroken).to.equal(true);
   });
 
+  it('breaks a chunked answer visibly when the server closes its connection in the middle', async () => {
+    fleet.onCustom = (_request, response) => {
+      const head = 'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n';
+      response.socket?.end(`${head}4\r\nhalf\r\n`);
+    };
+    const {isBroken} = await send(`${origin}/custom`);
+    expect(isBroken).to.equal(true);
+  });
+
+  it('passes on a whole chunked answer that closes its connection', async () => {
+    fleet.onCustom = (_request, response) => {
+      const head = 'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n';
+      response.socket?.end(`${head}3\r\nall\r\n0\r\n\r\n`);
+    };
+    const {isBroken, text} = await send(`${origin}/custom`);
+    expect(text).to.equal('all');
+    expect(isBroken).to.equal(false);
+  });
+
   it('passes on an answer without a length that ends with its connection', async () => {
     fleet.onCustom = (_request, response) => {
       response.socket?.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nall');
     };
-    const {isBroken, text} = await send(`${origin}/custom`);
+    const {isBroken, text, headers} = await send(`${origin}/custom`);
     expect(text).to.equal('all');
     expect(isBroken).to.equal(false);
+    expect(headers['transfer-encoding']).to.equal(undefined);
+    expect(headers.connection).to.equal('close');
   });
 
   it('does not hand on an answer that belongs to another request', async () => {
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -187,7 +187,10 @@
       maxBytes: bufferedAnswerBytes,
       wasBroken: () => connection.wasReset,
     });
-    this.#options.answer(requestId, {attempt, status, headers, body: whole});
+    const isUnframed =
+      response.headers['content-length'] === undefined &&
+      response.headers['transfer-encoding'] === undefined;
+    this.#options.answer(requestId, {attempt, status, headers, body: whole, isUnframed});
     const {saidNotRun, isMisdirected} = verdict;
     this.#options.tell({
       type: 'attemptAnswered',
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -296,6 +296,11 @@
       return;
     }
     try {
+      if (answer.isUnframed) {
+        // Chunks would make an answer that broke off at the server look whole; pass on how it ends.
+        outgoing.useChunkedEncodingByDefault = false;
+        outgoing.shouldKeepAlive = false;
+      }
       outgoing.writeHead(answer.status, {...answer.headers, [this.#nameHeader]: publicId});
       const keep = new AnswerKeeper(answer.status, answer.headers['content-type']);
       await (this.#mustKeep(exchange)
--- a/packages/proxy/src/callers/exchange.ts
+++ b/packages/proxy/src/callers/exchange.ts
@@ -8,6 +8,8 @@
   readonly status: number;
   readonly headers: HeaderMap;
   readonly body: Readable;
+  /** True where the answer has no length but ends with its connection. */
+  readonly isUnframed: boolean;
 }
 
 /** One caller's request and the sockets that belong to it. */
