--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -311,6 +311,8 @@
     } catch {
       // The head went out; only a broken connection tells the caller that the answer is not whole.
       this.#forget(requestId);
+      // An answer without a length ends with its connection, so only a reset shows that it broke off.
+      outgoing.socket?.resetAndDestroy();
       outgoing.destroy();
       this.#options.count('caller.answerBroken');
       this.#options.tell({
