--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -300,6 +300,11 @@
         // Chunks would make an answer that broke off at the server look whole; pass on how it ends.
         outgoing.useChunkedEncodingByDefault = false;
         outgoing.shouldKeepAlive = false;
+        // It ends with its connection, so that only a reset shows that it broke off.
+        const {socket} = outgoing;
+        answer.body.once('error', () => {
+          socket?.resetAndDestroy();
+        });
       }
       outgoing.writeHead(answer.status, {...answer.headers, [this.#nameHeader]: publicId});
       const keep = new AnswerKeeper(answer.status, answer.headers['content-type']);
@@ -311,8 +316,6 @@
     } catch {
       // The head went out; only a broken connection tells the caller that the answer is not whole.
       this.#forget(requestId);
-      // An answer without a length ends with its connection, so only a reset shows that it broke off.
-      outgoing.socket?.resetAndDestroy();
       outgoing.destroy();
       this.#options.count('caller.answerBroken');
       this.#options.tell({
