Timers never fire before their moment; only the core ends attempts

Two faults hid one another: timeouts of the event loop may fire a fraction of a ms before their moment, upon which the core took the deadline for not yet reached and never asked again; and the client library's own timer for heads, which then ended the attempts, may fire half a second early. Change: the timer service arms again until the moment is there; the library's timer is off. A test of slow answers on connections used before passed before too.

--- a/packages/proxy/src/__tests__/callerPath.test.ts
+++ b/packages/proxy/src/__tests__/callerPath.test.ts
@@ -235,6 +235,17 @@
     await ended;
   });
 
+  it('waits for a slow answer as long as its caller gives, also on a connection used before', async () => {
+    fleet.onCustom = (_request, response) => {
+      setTimeout(() => response.end('late'), 950);
+    };
+    const headers = {...key, 'x-request-timeout-ms': '1400'};
+    for (let round = 0; round < 4; round += 1) {
+      const {status, text} = await send(`${origin}/custom`, {headers});
+      expect({status, text}).to.deep.equal({status: 200, text: 'late'});
+    }
+  });
+
   it('answers a deadline that has passed as unknown', async () => {
     fleet.onCustom = () => undefined;
     const headers = {...key, 'x-request-timeout-ms': '100'};
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -139,7 +139,8 @@
         headers: run.headers,
         body: run.body ?? null,
         signal: controller.signal,
-        headersTimeout: Math.ceil(run.timeoutMs),
+        // The core ends attempts in time; the library's timer may fire half a second early.
+        headersTimeout: 0,
       });
       response.body.once('close', () => {
         this.#running.delete(name);
--- a/packages/proxy/src/timer/systemTimerService.ts
+++ b/packages/proxy/src/timer/systemTimerService.ts
@@ -11,12 +11,21 @@
   }
 
   at(momentMs: number, callBack: () => void): TimerSubscription {
-    const waitMs = Math.min(Math.max(0, momentMs - this.nowMs()), longestTimeoutMs);
-    const timeout = setTimeout(() => {
-      this.#timeouts.delete(timeout);
-      callBack();
-    }, waitMs);
-    this.#timeouts.add(timeout);
+    let timeout: NodeJS.Timeout;
+    const arm = (): void => {
+      const waitMs = Math.min(Math.max(0, Math.ceil(momentMs - this.nowMs())), longestTimeoutMs);
+      timeout = setTimeout(() => {
+        this.#timeouts.delete(timeout);
+        // The event loop's own clock lags behind, so that a timeout may fire before its moment.
+        if (this.nowMs() < momentMs) {
+          arm();
+          return;
+        }
+        callBack();
+      }, waitMs);
+      this.#timeouts.add(timeout);
+    };
+    arm();
     return {
       cancel: () => {
         clearTimeout(timeout);
