--- a/packages/core/src/fleet/fleetBounds.ts
+++ b/packages/core/src/fleet/fleetBounds.ts
@@ -14,10 +14,6 @@
   coldOvershoot: z.number().positive().default(1.5),
   /** Requests by which a cold server's rate may be exceeded in a second. Default: 5. */
   coldSlack: z.number().min(0).default(5),
-  /** Least share of the sound servers that get requests while requests fail. Default: 0.7. */
-  floorShare: z.number().min(0).max(1).default(0.7),
-  /** Time after which the address of an ended server may belong to another one, in ms. Default: 2,000. */
-  addressReuseMs: z.number().min(0).default(2_000),
   /** Window in which a customer's requests are counted against rate and burst, in ms. Default: 5,000. */
   rateWindowMs: z.number().positive().default(5_000),
   /** Share by which a customer's rate may be exceeded over the fleet. Default: 0.25. */
--- a/packages/proxy/src/host/fleetHost.ts
+++ b/packages/proxy/src/host/fleetHost.ts
@@ -16,7 +16,7 @@
 import {ClockWatch} from '../timer/clockWatch.ts';
 import type {TimerService} from '../timer/timerService.ts';
 import {CoreRunner} from './coreRunner.ts';
-import {splitAddress} from './splitAddress.ts';
+import {listenAddress} from './splitAddress.ts';
 
 /** Where a host listens, as `IP:port`. */
 export interface FleetHostAddresses {
@@ -132,7 +132,7 @@
       maxReplayableBytes,
       dialect,
       selfId,
-      ...listen(addresses.callers),
+      ...listenAddress(addresses.callers),
       timers,
       tell,
       count,
@@ -142,7 +142,7 @@
     });
     this.#peers = new PeerTask({
       selfId,
-      ...listen(addresses.peers),
+      ...listenAddress(addresses.peers),
       reconnectMs,
       areIdsAddresses: true,
       report: (report) => {
@@ -151,13 +151,13 @@
     });
     this.#registry = new RegistryWatchTask({source, timers, tell, count});
     this.#readiness = new ReadinessTask({
-      ...listen(addresses.readiness),
+      ...listenAddress(addresses.readiness),
       path: options.readinessPath,
       isReady: () => this.#runner.status().requests?.isReady === true,
     });
     this.#clockWatch = new ClockWatch({timers, wallMs: options.wallMs, tell});
     this.#admin = new AdminTask({
-      ...listen(addresses.admin),
+      ...listenAddress(addresses.admin),
       counters: () => this.#metrics.counters.snapshot(),
       metrics: this.#metrics.text,
       status: () => this.#runner.status(),
@@ -287,8 +287,3 @@
     }
   }
 }
-
-function listen(address: string): {listenHost: string; listenPort: number} {
-  const {host, port} = splitAddress(address);
-  return {listenHost: host, listenPort: port};
-}
--- a/packages/proxy/src/host/proxyHost.ts
+++ b/packages/proxy/src/host/proxyHost.ts
@@ -13,7 +13,7 @@
 import {PlatformTask} from '../platform/platformTask.ts';
 import {SystemTimerService} from '../timer/systemTimerService.ts';
 import {CoreRunner} from './coreRunner.ts';
-import {splitAddress} from './splitAddress.ts';
+import {listenAddress, splitAddress} from './splitAddress.ts';
 
 export interface ProxyHostOptions {
   readonly settings: HostSettings;
@@ -90,7 +90,7 @@
       ...settings.callers,
       dialect,
       selfId,
-      ...this.#listen(settings.listen.callers),
+      ...listenAddress(settings.listen.callers),
       timers,
       tell,
       run: (command) => {
@@ -101,7 +101,7 @@
     this.#peers = new PeerTask({
       ...settings.peers,
       selfId,
-      ...this.#listen(settings.listen.peers),
+      ...listenAddress(settings.listen.peers),
       report: (report) => {
         this.#onPeerReport(report);
       },
@@ -116,7 +116,7 @@
       count,
     });
     this.#admin = new AdminTask({
-      ...this.#listen(settings.listen.admin),
+      ...listenAddress(settings.listen.admin),
       counters: () => this.#metrics.counters.snapshot(),
       metrics: this.#metrics.text,
       status: () => this.#runner.status(),
@@ -170,11 +170,6 @@
     });
   }
 
-  #listen(address: string): {listenHost: string; listenPort: number} {
-    const {host, port} = splitAddress(address);
-    return {listenHost: host, listenPort: port};
-  }
-
   #dispatch(effect: HostEffect): void {
     switch (effect.type) {
       case 'startAttempt':
