Answers without real work are no proof of a server

Change: an answer below a sixth of the backend's mean work time proves nothing and is no trial; a new home applies the same to what hosts tell it.

--- a/packages/bench/src/__tests__/grayPlacement.test.ts
+++ b/packages/bench/src/__tests__/grayPlacement.test.ts
@@ -26,7 +26,15 @@
   }
 }
 
-function silentByTurns({alone}: {alone: boolean}): GrayFleet {
+const usualMix = {lookup: 20, payment: 46, upload: 4};
+
+function silentByTurns({
+  alone,
+  mix = usualMix,
+}: {
+  alone: boolean;
+  mix?: Readonly<Record<string, number>>;
+}): GrayFleet {
   const fleet = grayFleet(hash, {seed: 11});
   fleet.queue.runUntil(settleMs);
   if (alone) {
@@ -34,7 +42,8 @@
   }
   grayTurns(fleet, {mode: 'silent', share: 0.3, cycleMs, seed: 11});
   fleet.queue.runUntil(settleMs + cycleMs);
-  grayLoad(fleet, {forMs: 20_000});
+  const total = Object.values(mix).reduce((sum, weight) => sum + weight, 0);
+  grayLoad(fleet, {forMs: 20_000, mix, perSecond: total});
   fleet.queue.runUntil(settleMs + cycleMs + 24_000);
   return fleet;
 }
@@ -56,6 +65,13 @@
     expect(lookups.inTargetShare).to.be.above(0.95);
   });
 
+  it('loses no more payments where requests without work are answered by silent servers', () => {
+    const usual = summaryOf(silentByTurns({alone: false}), 'payment');
+    const mix = {...usualMix, check: 30};
+    const beside = summaryOf(silentByTurns({alone: false, mix}), 'payment');
+    expect(beside.doubtfulShare).to.be.at.most(usual.doubtfulShare * 1.1);
+  });
+
   it('runs no payment twice', () => {
     const fleet = silentByTurns({alone: false});
     const lookups = new Set<string>();
--- a/packages/bench/src/gray/grayDays.ts
+++ b/packages/bench/src/gray/grayDays.ts
@@ -14,6 +14,7 @@
   {id: 'lookup', backendId: 'core', isIdempotent: true, meanMs: 220, spread: 0.6},
   {id: 'payment', backendId: 'core', isIdempotent: false, meanMs: 290, spread: 0.6},
   {id: 'upload', backendId: 'media', isIdempotent: false, meanMs: 260, spread: 0.3},
+  {id: 'check', backendId: 'core', isIdempotent: true, meanMs: 3, spread: 0.3, isTrivial: true},
 ];
 
 export function grayKey(customerId: string): string {
--- a/packages/bench/src/gray/grayFleet.ts
+++ b/packages/bench/src/gray/grayFleet.ts
@@ -26,6 +26,8 @@
   readonly isIdempotent: boolean;
   readonly meanMs: number;
   readonly spread: number;
+  /** True where a request needs next to no work, so that gray servers answer it. Default: false. */
+  readonly isTrivial?: boolean;
 }
 
 export interface GrayBackend {
@@ -373,6 +375,7 @@
         meanMs: open.route.meanMs,
         spread: open.route.spread,
         timeoutMs: attempt.timeoutMs,
+        isTrivial: open.route.isTrivial ?? false,
         answer: ({status, saidNotRun}) => {
           open.statuses.set(number, status);
           this.after(delayMs, () => {
--- a/packages/bench/src/gray/grayServer.ts
+++ b/packages/bench/src/gray/grayServer.ts
@@ -25,6 +25,8 @@
   /** Standard deviation of the logarithm of the work time. */
   readonly spread: number;
   readonly timeoutMs: number;
+  /** True for a request that needs next to no work: a gray server answers it, as it does a probe. */
+  readonly isTrivial: boolean;
   readonly answer: (answer: GrayAnswer) => void;
 }
 
@@ -81,7 +83,7 @@
     this.#running.add(running);
     this.runs += 1;
     const {work} = running;
-    if (this.#isSpoiled('silent')) {
+    if (!work.isTrivial && this.#isSpoiled('silent')) {
       later(work.timeoutMs, () => {
         this.#end(running, {status: 504, saidNotRun: false});
       });
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -432,6 +432,8 @@
       outcome: workOutcomeSchema,
       /** Time since the start of the attempt, in ms. */
       startedAgoMs: z.number().min(0),
+      /** Time for which the attempt ran, in ms. */
+      ranForMs: z.number().min(0),
     }),
   ),
 });
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -77,6 +77,11 @@
 /** Time for which a server that said it is another one gets nothing, in ms. */
 const misdirectedMs = 5_000;
 const shortestRetryMs = 50;
+/**
+ * Answers that took less than this share of the backend's mean work time prove nothing: a server that fails
+ * its real work still answers what needs none, such as its probes.
+ */
+const trivialShare = 1 / 6;
 /** Work is not begun where less than this share of the answers would come in time. */
 const usefulShare = 0.75;
 
@@ -93,6 +98,7 @@
   readonly #trusts = new Map<string, ServerTrust>();
   readonly #placed = new Map<string, PlacedAttempt>();
   readonly #workTimes = new Map<string, WorkTimes>();
+  readonly #allWorkTimes = new WorkTimes(firstGuessMs);
   readonly #outcomes = new OutcomeShare();
   readonly #repeats: RepeatWindow;
   readonly #crashes = new CrashSuspects();
@@ -181,7 +187,8 @@
   ): Placement | undefined {
     const candidates = this.#candidates(ask, asker, nowMs);
     const situation = this.#situation(nowMs);
-    const isTrialAllowed = ask.isRepeatable && !ask.isRepeat;
+    const isTrialAllowed =
+      ask.isRepeatable && !ask.isRepeat && this.#typicalWorkMs(ask) >= this.#trivialBelowMs;
     const chosen = (isTrialAllowed ? this.#trial : this.#surest).choose(candidates, situation);
     if (chosen === undefined) {
       return undefined;
@@ -227,12 +234,12 @@
     }
     this.#placed.delete(key);
     const {serverId, routeId, requestDigest} = attempt;
-    const trust = this.#trust(serverId);
-    trust.running.delete(key);
-    trust.end(attempt, outcome, nowMs, this.#shareAbove);
+    this.#trust(serverId).running.delete(key);
+    this.#noteEnd(serverId, attempt, outcome, ranForMs, nowMs);
     this.#outcomes.note(outcome, nowMs);
     if (outcome === 'ok') {
       this.#times(routeId).note(ranForMs);
+      this.#allWorkTimes.note(ranForMs);
       this.#crashes.clear(requestDigest);
     }
     if (outcome === 'lost') {
@@ -244,6 +251,18 @@
     return true;
   }
 
+  #noteEnd(
+    serverId: string,
+    attempt: RunningAttempt,
+    outcome: WorkOutcome,
+    ranForMs: number,
+    nowMs: number,
+  ): void {
+    if (outcome !== 'ok' || ranForMs >= this.#trivialBelowMs) {
+      this.#trust(serverId).end(attempt, outcome, nowMs, this.#shareAbove);
+    }
+  }
+
   /** Takes what a host runs and saw, where this host has just become the home. */
   welcome(hostId: string, {running, recent}: PlaceHello, nowMs: number): void {
     for (const {askId, serverId, routeId, ageMs} of running) {
@@ -252,9 +271,9 @@
       this.#placed.set(key, {...attempt, serverId, requestDigest: ''});
       this.#trust(serverId).start(key, attempt);
     }
-    for (const {serverId, outcome, startedAgoMs} of recent) {
+    for (const {serverId, outcome, startedAgoMs, ranForMs} of recent) {
       const attempt = {hostId, routeId: '', startedAtMs: nowMs - startedAgoMs};
-      this.#trust(serverId).end(attempt, outcome, nowMs, this.#shareAbove);
+      this.#noteEnd(serverId, attempt, outcome, ranForMs, nowMs);
     }
   }
 
@@ -385,6 +404,11 @@
     return Math.min(times.quantileMs(share), latestMs);
   }
 
+  /** Work time below which an answer says nothing of the server, in ms. */
+  get #trivialBelowMs(): number {
+    return this.#allWorkTimes.meanMs * trivialShare;
+  }
+
   #typicalWorkMs({routeId}: PlaceAsk): number {
     return this.#times(routeId).quantileMs(0.5);
   }
--- a/packages/core/src/placement/placementEntryTask.ts
+++ b/packages/core/src/placement/placementEntryTask.ts
@@ -53,6 +53,7 @@
   readonly backendId: string;
   readonly outcome: WorkOutcome;
   readonly startedAtMs: number;
+  readonly ranForMs: number;
 }
 
 const timerId = 'placement.asks';
@@ -272,7 +273,7 @@
     this.#lone.noteEnd(serverId, outcome, nowMs);
     if (outcome !== 'cancelled') {
       this.#lastEnds.delete(serverId);
-      this.#lastEnds.set(serverId, {backendId, outcome, startedAtMs: grant.startedAtMs});
+      this.#lastEnds.set(serverId, {backendId, outcome, startedAtMs: grant.startedAtMs, ranForMs});
     }
     if (grant.homeId === undefined) {
       return [];
@@ -383,10 +384,10 @@
       }
     }
     const recent = [];
-    for (const [serverId, {outcome, startedAtMs, ...end}] of this.#lastEnds) {
+    for (const [serverId, {outcome, startedAtMs, ranForMs, ...end}] of this.#lastEnds) {
       const startedAgoMs = nowMs - startedAtMs;
       if (end.backendId === backendId && startedAgoMs < recentMs) {
-        recent.push({serverId, outcome, startedAgoMs});
+        recent.push({serverId, outcome, startedAgoMs, ranForMs});
       }
     }
     const message: PeerMessage = {type: 'placeHello', backendId, running, recent};
--- a/packages/core/src/placement/workTimes.ts
+++ b/packages/core/src/placement/workTimes.ts
@@ -54,6 +54,15 @@
     return (above + 0.1) / (this.#total + 0.1);
   }
 
+  /** Mean time of the answers, in ms, to within a bin. */
+  get meanMs(): number {
+    let sumMs = 0;
+    for (let bin = 0; bin < binCount; bin += 1) {
+      sumMs += (this.#weights[bin] ?? 0) * upperBoundMs(bin);
+    }
+    return sumMs / this.#total;
+  }
+
   /** Time within which a share of the answers comes, in ms. */
   quantileMs(share: number): number {
     let below = 0;
