Serve the newest first and refuse early while more waits than can be served in time

Requests over their customer's rate, whose place was given back at once, still counted as starts and used up the rate of the servers. Change: a rank of which more waits than can be served before its target is crowded: the newest of equals go first, and whoever waited for a quarter of that time is refused, until nearly nobody waits. The speed of the line is measured, for each rank. A start that never came about is taken back.

--- a/packages/bench/src/__tests__/grayPlacement.test.ts
+++ b/packages/bench/src/__tests__/grayPlacement.test.ts
@@ -8,6 +8,8 @@
 
 const settleMs = 8_000;
 const cycleMs = 12_000;
+/** Target of the routes of the gray document, in ms. */
+const targetMs = 800;
 
 let hash: HashFunction;
 
@@ -181,6 +183,27 @@
     expect(payments.servedShare).to.be.above(lookups.servedShare);
   });
 
+  it('answers in time whom it answers, and refuses the rest long before their time is over', () => {
+    const fleet = grayFleet(hash, {seed: 6, backends: [{id: 'core', servers: 20}]});
+    fleet.queue.runUntil(settleMs);
+    grayTurns(fleet, {mode: 'silent', share: 0.3, cycleMs, seed: 6});
+    const mix = {lookup: 30, payment: 70};
+    grayLoad(fleet, {
+      forMs: 10_000,
+      perSecond: 180,
+      mix,
+      customers: {large: 5, medium: 3, small: 2},
+    });
+    fleet.queue.runUntil(settleMs + 14_000);
+    const {servedShare, inTargetShare} = summarise(fleet.outcomes);
+    const refused = fleet.outcomes.filter(({refusal}) => refusal === 'overloaded');
+    const tookMs = refused.map((request) => request.tookMs).sort((one, other) => one - other);
+    expect(inTargetShare).to.be.above(0.55);
+    expect(inTargetShare / servedShare).to.be.above(0.93);
+    expect(tookMs[Math.floor(tookMs.length / 2)]).to.be.below(targetMs / 4);
+    expect(tookMs.at(-1)).to.be.below(targetMs);
+  });
+
   it('refuses with a wait, and truly', () => {
     const fleet = overload();
     const refused = fleet.outcomes.filter(({refusal}) => refusal === 'overloaded');
--- a/packages/core/src/__tests__/placement.test.ts
+++ b/packages/core/src/__tests__/placement.test.ts
@@ -70,6 +70,14 @@
     expect(trust.risk(330, usual)).to.be.above(0.7);
   });
 
+  it('does not count a start that never came about against the rate of the server', () => {
+    const trust = new ServerTrust();
+    trust.start('a', attempt(100));
+    trust.start('b', attempt(120));
+    trust.forgetStart(100);
+    expect(trust.startsInSecond(200)).to.equal(1);
+  });
+
   it('keeps a host away from a server that was silent to it, and other hosts not', () => {
     const trust = new ServerTrust();
     trust.end(attempt(0), 'timeout', 1_000, usual);
@@ -171,7 +179,7 @@
         requestDigest: '',
         requestName: '',
       };
-      line.add(key, {hostId: 'h', ask, arrivedAtMs, uselessAtMs: 5_000});
+      line.add(key, {hostId: 'h', ask, arrivedAtMs, impatientAtMs: 5_000, uselessAtMs: 5_000});
     };
     line.noteServed('large', 0);
     wait('large-early', 'large', 1, 10);
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -5,6 +5,8 @@
 import type {PlaceAsk, PlaceHello} from '../messages/peerMessages.ts';
 import type {WorkOutcome} from '../messages/workOutcome.ts';
 import {CrashSuspects} from './crashSuspects.ts';
+import {LineAdmission} from './lineAdmission.ts';
+import type {UselessAsk} from './lineAdmission.ts';
 import {OutcomeShare} from './outcomeShare.ts';
 import type {PlacementCandidate, PlacementPolicy, PlacementSituation} from './placementPolicy.ts';
 import {RepeatWindow} from './repeatWindow.ts';
@@ -12,7 +14,6 @@
 import type {RunningAttempt} from './serverTrust.ts';
 import {SurestServer} from './surestServer.ts';
 import {TrialServer} from './trialServer.ts';
-import {WaitingLine} from './waitingLine.ts';
 import {WorkTimes} from './workTimes.ts';
 
 /** What became of an ask. */
@@ -76,7 +77,10 @@
 const forgottenAfterMs = 15_000;
 /** Time for which a server that said it is another one gets nothing, in ms. */
 const misdirectedMs = 5_000;
-const shortestRetryMs = 50;
+/** Risk below which the slots of a server count for the length of a wait. */
+const soundBelowRisk = 0.5;
+/** A free slot is a few ms away on average; so long waits any request for one, in ms. */
+const shortestWaitMs = 50;
 /**
  * Answers that took less than this share of the backend's mean work time prove nothing: a server that fails
  * its real work still answers what needs none, such as its probes.
@@ -103,7 +107,7 @@
   readonly #repeats: RepeatWindow;
   readonly #crashes = new CrashSuspects();
   readonly #misdirectedUntilMs = new Map<string, number>();
-  readonly line = new WaitingLine();
+  readonly admission = new LineAdmission();
   #servers: readonly DiscoveredServer[] = [];
   #coldUntilMs = new Map<string, number>();
   #lapsed: ReadonlySet<string> = new Set();
@@ -210,7 +214,7 @@
     if (best > hopelessRisk) {
       return nowMs - lastStartMs >= hopelessRestMs;
     }
-    const patienceMs = Math.max(1, (ask.leftMs - this.#typicalWorkMs(ask)) * patienceShare);
+    const patienceMs = Math.max(1, this.#inTargetForMs(ask) * patienceShare);
     const passed = Math.min(1, (nowMs - arrivedAtMs) / patienceMs);
     const byWait = acceptedRiskAtFirst + (acceptedRiskAtLast - acceptedRiskAtFirst) * passed;
     const byOthers = Math.min(hopelessRisk, best * worthWaitingFactor + worthWaitingRisk);
@@ -234,7 +238,12 @@
     }
     this.#placed.delete(key);
     const {serverId, routeId, requestDigest} = attempt;
-    this.#trust(serverId).running.delete(key);
+    const trust = this.#trust(serverId);
+    trust.running.delete(key);
+    if (outcome === 'cancelled' && ranForMs === 0) {
+      trust.forgetStart(attempt.startedAtMs);
+      return true;
+    }
     this.#noteEnd(serverId, attempt, outcome, ranForMs, nowMs);
     this.#outcomes.note(outcome, nowMs);
     if (outcome === 'ok') {
@@ -289,15 +298,8 @@
   }
 
   /** Takes asks out of the line that can be served in time no more. */
-  takeUseless(nowMs: number): {key: string; hostId: string; ask: PlaceAsk; retryAfterMs: number}[] {
-    const useless: {key: string; hostId: string; ask: PlaceAsk; retryAfterMs: number}[] = [];
-    for (const [key, {hostId, ask, uselessAtMs}] of this.line.inOrder(nowMs)) {
-      if (nowMs >= uselessAtMs) {
-        this.line.remove(key);
-        useless.push({key, hostId, ask, retryAfterMs: this.#expectedWaitMs(ask, nowMs)});
-      }
-    }
-    return useless;
+  takeUseless(nowMs: number): UselessAsk[] {
+    return this.admission.takeUseless(nowMs);
   }
 
   #grant(
@@ -313,7 +315,7 @@
     const attempt: PlacedAttempt = {hostId, routeId, startedAtMs: nowMs, serverId, requestDigest};
     this.#placed.set(key, attempt);
     trust.start(key, attempt);
-    this.line.noteServed(ask.customerId, nowMs);
+    this.admission.noteGrant(ask, nowMs);
     if (ask.isRepeat) {
       this.#repeats.noteRepeat(nowMs);
     }
@@ -330,21 +332,32 @@
     if (this.#bestRisk(nowMs) > hopelessRisk) {
       return {state: 'refused', kind: 'no-server', retryAfterMs: hopelessRetryMs};
     }
-    const expectedWaitMs = this.#expectedWaitMs(ask, nowMs);
-    const uselessAtMs = nowMs + ask.leftMs - this.#times(ask.routeId).quantileMs(usefulShare);
-    if (nowMs + expectedWaitMs > uselessAtMs) {
-      const retryAfterMs = Math.max(shortestRetryMs, expectedWaitMs);
-      return {state: 'refused', kind: 'overloaded', retryAfterMs};
-    }
-    this.line.add(key, {hostId: asker.hostId, ask, arrivedAtMs: nowMs, uselessAtMs});
-    return {state: 'waiting', expectedWaitMs};
+    const typicalMs = this.#typicalWorkMs(ask);
+    const terms = {
+      hostId: asker.hostId,
+      ask,
+      inTargetForMs: this.#inTargetForMs(ask),
+      usefulForMs: ask.leftMs - this.#times(ask.routeId).quantileMs(usefulShare),
+      expectedPerMs: this.#soundSlots(nowMs) / typicalMs,
+    };
+    const verdict = this.admission.admit(key, terms, nowMs);
+    return verdict.state === 'refused' ? {...verdict, kind: 'overloaded'} : verdict;
+  }
+
+  /** Time for which an ask may wait so that its answer usually comes within the target, in ms. */
+  #inTargetForMs(ask: PlaceAsk): number {
+    const targetMs = this.#targetByRoute.get(ask.routeId) ?? ask.leftMs;
+    return Math.max(shortestWaitMs, Math.min(ask.leftMs, targetMs) - this.#typicalWorkMs(ask));
   }
 
-  /** Time until a server is free for one more request of this rank, from the work that is ahead. */
-  #expectedWaitMs(ask: PlaceAsk, nowMs: number): number {
-    const ahead = this.line.countBefore(ask, nowMs) + 1;
-    const slots = this.#servers.reduce((sum, server) => sum + server.slots, 0);
-    return slots === 0 ? 1_000 : (ahead * this.#typicalWorkMs(ask)) / slots;
+  /** Slots of the servers that would rather answer than fail, at least one. */
+  #soundSlots(nowMs: number): number {
+    let slots = 0;
+    for (const server of this.#servers) {
+      const risk = this.#trust(server.id).risk(nowMs, this.#shareAbove);
+      slots += risk < soundBelowRisk ? server.slots : 0;
+    }
+    return Math.max(1, slots);
   }
 
   #candidates(ask: PlaceAsk, {hostId, dataCentre}: Asker, nowMs: number): PlacementCandidate[] {
--- a/packages/core/src/placement/placementHomeTask.ts
+++ b/packages/core/src/placement/placementHomeTask.ts
@@ -72,7 +72,7 @@
     const value: Record<string, unknown> = {};
     for (const [backendId, home] of this.#homes) {
       value[backendId] = {
-        waiting: home.line.size,
+        waiting: home.admission.line.size,
         servers: home.serverCount,
         failedShare: home.failedShare,
       };
@@ -115,7 +115,7 @@
       case 'placeEnded':
         return this.#onEnded(fromHostId, message, nowMs);
       case 'placeWithdrawn':
-        return this.#onWithdrawn(`${fromHostId}/${message.askId}`);
+        return this.#onWithdrawn(`${fromHostId}/${message.askId}`, nowMs);
       case 'placeHello':
         this.#home(message.backendId, nowMs).welcome(fromHostId, message, nowMs);
         for (const {askId} of message.running) {
@@ -131,7 +131,10 @@
     const key = `${hostId}/${ask.askId}`;
     const home = this.#home(ask.backendId, nowMs);
     const given = this.#given.get(key);
-    if (given !== undefined && !(given.answer.state === 'waiting' && !home.line.has(key))) {
+    if (
+      given !== undefined &&
+      !(given.answer.state === 'waiting' && !home.admission.line.has(key))
+    ) {
       return [{type: 'sendToPeer', toHostId: hostId, message: given.answer}];
     }
     this.#backendByKey.set(key, ask.backendId);
@@ -147,7 +150,7 @@
     waitedMs: number,
     nowMs: number,
   ): readonly CoreMessage[] {
-    const {askId, backendId, requestName, isRepeat, isRepeatable} = ask;
+    const {askId, backendId, requestName, isRepeat, isRepeatable, priority, customerId} = ask;
     const answer: PlaceAnswer = {type: 'placeAnswer', askId, state: placement.state};
     const fields: Record<string, unknown> = {
       requestName,
@@ -155,6 +158,8 @@
       backendId,
       isRepeat,
       isRepeatable,
+      priority,
+      customerId,
       ...placement,
       waitedMs,
     };
@@ -168,7 +173,7 @@
     }
     this.#given.set(key, {answer, atMs: nowMs});
     const home = this.#home(backendId, nowMs);
-    fields.waiting = home.line.size;
+    fields.waiting = home.admission.line.size;
     fields.servers = home.serverCount;
     return [
       {type: 'sendToPeer', toHostId: hostId, message: answer},
@@ -186,8 +191,8 @@
     return this.#serveLine(home, nowMs);
   }
 
-  #onWithdrawn(key: string): readonly CoreMessage[] {
-    this.#homeOfKey(key)?.line.remove(key);
+  #onWithdrawn(key: string, nowMs: number): readonly CoreMessage[] {
+    this.#homeOfKey(key)?.admission.remove(key, nowMs);
     return [];
   }
 
@@ -204,18 +209,18 @@
   }
 
   #serveLine(home: BackendHome, nowMs: number): readonly CoreMessage[] {
-    if (home.line.size === 0) {
+    if (home.admission.line.size === 0) {
       return [];
     }
     const messages: CoreMessage[] = [];
-    for (const {key, hostId, ask, retryAfterMs} of home.takeUseless(nowMs)) {
+    for (const {key, hostId, ask, waitedMs, retryAfterMs} of home.takeUseless(nowMs)) {
       const refused = {state: 'refused', kind: 'overloaded', retryAfterMs} as const;
-      messages.push(...this.#tell(key, hostId, ask, refused, 0, nowMs));
+      messages.push(...this.#tell(key, hostId, ask, refused, waitedMs, nowMs));
     }
-    for (const [key, {hostId, ask, arrivedAtMs}] of home.line.inOrder(nowMs)) {
+    for (const [key, {hostId, ask, arrivedAtMs}] of home.admission.line.inOrder(nowMs)) {
       const placement = home.tryPlace(key, ask, this.#asker(hostId), arrivedAtMs, nowMs);
       if (placement !== undefined) {
-        home.line.remove(key);
+        home.admission.remove(key, nowMs);
         messages.push(...this.#tell(key, hostId, ask, placement, nowMs - arrivedAtMs, nowMs));
       }
     }
@@ -223,7 +228,7 @@
   }
 
   #armTimer(nowMs: number): readonly CoreMessage[] {
-    const isWaiting = [...this.#homes.values()].some(({line}) => line.size > 0);
+    const isWaiting = [...this.#homes.values()].some(({admission}) => admission.line.size > 0);
     if (this.#isTimerSet || !isWaiting) {
       return [];
     }
--- a/packages/core/src/placement/serverTrust.ts
+++ b/packages/core/src/placement/serverTrust.ts
@@ -93,6 +93,14 @@
     }
   }
 
+  /** Takes back a start that never came about, so that it does not count against the server's rate. */
+  forgetStart(startedAtMs: number): void {
+    const index = this.#startsMs.lastIndexOf(startedAtMs);
+    if (index >= 0) {
+      this.#startsMs.splice(index, 1);
+    }
+  }
+
   /** Attempts started in the last second. */
   startsInSecond(nowMs: number): number {
     return this.#startsSince(nowMs - rateWindowMs);
--- a/packages/core/src/placement/waitingLine.ts
+++ b/packages/core/src/placement/waitingLine.ts
@@ -5,6 +5,8 @@
   readonly hostId: string;
   readonly ask: PlaceAsk;
   readonly arrivedAtMs: number;
+  /** Moment at which the request leaves a crowded line, in ms. */
+  readonly impatientAtMs: number;
   /** Moment after which an answer would come too late, in ms. */
   readonly uselessAtMs: number;
 }
@@ -14,7 +16,7 @@
 
 /**
  * Requests that wait for a server: urgent ones first, then the customer that got least lately, then the
- * oldest.
+ * oldest, or in a crowded rank the newest.
  *
  * Load pattern: more work than the sound servers bear, most of it from one customer. Nobody is left out:
  * a customer that sends many times its usual waits behind those that do not.
@@ -22,6 +24,13 @@
 export class WaitingLine {
   readonly #waiting = new Map<string, WaitingAsk>();
   readonly #servedByCustomer = new Map<string, {weight: number; atMs: number}>();
+  /** Priorities of which more requests wait than can be served before their target. */
+  readonly crowdedRanks = new Set<number>();
+
+  /** Waiting requests in the order of their arrival. */
+  get entries(): [string, WaitingAsk][] {
+    return [...this.#waiting];
+  }
 
   get size(): number {
     return this.#waiting.size;
@@ -35,19 +44,11 @@
     this.#waiting.set(key, waiting);
   }
 
-  remove(key: string): void {
+  /** Takes a request out of the line; undefined where it does not wait. */
+  remove(key: string): WaitingAsk | undefined {
+    const waiting = this.#waiting.get(key);
     this.#waiting.delete(key);
-  }
-
-  /** Requests that would be served before a new one of this rank and customer. */
-  countBefore({priority, customerId}: PlaceAsk, nowMs: number): number {
-    const served = this.#served(customerId, nowMs);
-    let count = 0;
-    for (const {ask} of this.#waiting.values()) {
-      const isEqual = ask.priority === priority && this.#served(ask.customerId, nowMs) <= served;
-      count += ask.priority < priority || isEqual ? 1 : 0;
-    }
-    return count;
+    return waiting;
   }
 
   /** Waiting requests in the order in which they should be served. */
@@ -57,7 +58,7 @@
       ([, one], [, other]) =>
         one.ask.priority - other.ask.priority ||
         this.#served(one.ask.customerId, nowMs) - this.#served(other.ask.customerId, nowMs) ||
-        one.arrivedAtMs - other.arrivedAtMs,
+        (one.arrivedAtMs - other.arrivedAtMs) * (this.crowdedRanks.has(one.ask.priority) ? -1 : 1),
     );
     return ordered;
   }
