A new home of a customer learns what the former one admitted

Change: hosts tell a new home the moments that other homes admitted for them in the current window, each once; a told request stands for the untold ones of hosts that are gone; for one window a new home keeps 15 % back and uses no slack.

--- a/packages/bench/src/__tests__/grayRegistry.test.ts
+++ b/packages/bench/src/__tests__/grayRegistry.test.ts
@@ -1,3 +1,4 @@
+import {DEFAULT_FLEET_BOUNDS, customerDuty, rankHosts} from '@godwitspring/core';
 import type {HashFunction} from '@godwitspring/core';
 import {loadXxHash} from '@godwitspring/proxy';
 import {expect} from 'chai';
@@ -121,11 +122,15 @@
   function admittedInWorstWindow(fleet: GrayFleet): number {
     const admitted = fleet.outcomes
       .filter(({refusal}) => refusal !== 'rate-limited')
-      .map(({arrivedAtMs}) => arrivedAtMs)
-      .sort((one, other) => one - other);
+      .map(({arrivedAtMs}) => arrivedAtMs);
+    return mostInWindow(admitted);
+  }
+
+  function mostInWindow(momentsMs: readonly number[]): number {
+    const sorted = [...momentsMs].sort((one, other) => one - other);
     let worst = 0;
-    for (const [index, startMs] of admitted.entries()) {
-      const inWindow = admitted.slice(index).filter((other) => other < startMs + 5_000).length;
+    for (const [index, startMs] of sorted.entries()) {
+      const inWindow = sorted.slice(index).filter((other) => other < startMs + 5_000).length;
       worst = Math.max(worst, inWindow);
     }
     return worst;
@@ -146,6 +151,74 @@
     expect(admittedInWorstWindow(fleet)).to.be.at.most(boundPerWindow);
   });
 
+  /** Start of the hosts that are there from the beginning, in ms. */
+  const firstBornMs = 1_000_000;
+
+  /** Hosts in the order in which they count the requests of a customer. */
+  function homesOf(fleet: GrayFleet, customerId: string): string[] {
+    const live = [...fleet.hosts.values()].map(({id, dataCentre}) => ({
+      hostId: id,
+      dataCentre,
+      bornMs: firstBornMs,
+    }));
+    return rankHosts(customerDuty(customerId), live, hash).map(({hostId}) => hostId);
+  }
+
+  /** Requests that reach servers in the worst window around the loss of some hosts at a bad moment. */
+  function worstAround(seed: number, lose: (fleet: GrayFleet, homes: string[]) => void): number {
+    const fleet = grayFleet(hash, {seed, errorShare: 0});
+    fleet.queue.runUntil(settleMs);
+    grayLoad(fleet, {forMs: 12_000, perSecond: 150, mix: {payment: 1}, customers: {large: 1}});
+    fleet.queue.runUntil(settleMs + 2_600);
+    lose(fleet, homesOf(fleet, 'large'));
+    fleet.queue.runUntil(settleMs + 15_000);
+    return mostInWindow([...fleet.startsMs.values()].flat());
+  }
+
+  const seeds = [21, 22, 23, 24];
+  const mostRun = boundPerWindow + DEFAULT_FLEET_BOUNDS.rateSlack;
+
+  it('holds when the host that counts dies without a word', () => {
+    for (const seed of seeds) {
+      const worst = worstAround(seed, (fleet, [first = '']) => {
+        fleet.crashHost(first);
+      });
+      expect(worst, `seed ${seed}`).to.be.at.most(mostRun);
+    }
+  });
+
+  it('holds when a data centre dies without a word, with the host that counts', () => {
+    for (const seed of seeds) {
+      const worst = worstAround(seed, (fleet, [first = '']) => {
+        const dataCentre = fleet.hosts.get(first)?.dataCentre;
+        for (const host of fleet.hosts.values()) {
+          if (host.dataCentre === dataCentre) {
+            fleet.crashHost(host.id);
+          }
+        }
+      });
+      expect(worst, `seed ${seed}`).to.be.at.most(mostRun);
+    }
+  });
+
+  it('holds when half of the processes are killed, the one that counts among them', () => {
+    for (const seed of seeds) {
+      const worst = worstAround(seed, (fleet, homes) => {
+        const killed = homes.filter((_, index) => index === 0 || index % 2 === 1);
+        for (const hostId of killed) {
+          fleet.crashHost(hostId);
+        }
+        // A host whose process is gone refuses connections at once.
+        for (const host of fleet.hosts.values()) {
+          for (const hostId of killed) {
+            host.tell({type: 'peerAbsent', hostId});
+          }
+        }
+      });
+      expect(worst, `seed ${seed}`).to.be.at.most(mostRun);
+    }
+  });
+
   it('is given whole while the fleet is whole', () => {
     const fleet = grayFleet(hash, {seed: 10, errorShare: 0});
     fleet.queue.runUntil(settleMs);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,8 @@
 export type {SelfFoundCoreOptions} from './host/selfFoundCore.ts';
 export {fleetBoundsSchema, DEFAULT_FLEET_BOUNDS} from './fleet/fleetBounds.ts';
 export type {FleetBounds} from './fleet/fleetBounds.ts';
+export {rankHosts} from './fleet/rankHosts.ts';
+export {customerDuty} from './quota/customerDuty.ts';
 export type {CoreTask} from './host/coreTask.ts';
 export {hostEventSchema, hostEffectSchema, taskMessageSchema} from './messages/coreMessage.ts';
 export type {CoreMessage, HostEffect, HostEvent, TaskMessage} from './messages/coreMessage.ts';
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -453,6 +453,14 @@
   retryAfterMs: z.number().min(0).optional(),
 });
 
+/** Tells a new home of a customer what the sender was granted in the current window by the former one. */
+export const quotaHelloSchema = z.object({
+  type: z.literal('quotaHello'),
+  customerId: z.string(),
+  /** Times since each request was admitted, in ms. */
+  admittedAgoMs: z.array(z.number().min(0)),
+});
+
 /** Every message between hosts. */
 export const peerMessageSchema = z.discriminatedUnion('type', [
   heartbeatAskSchema,
@@ -496,6 +504,7 @@
   placeHelloSchema,
   quotaAskSchema,
   quotaAnswerSchema,
+  quotaHelloSchema,
 ]);
 
 export type PeerMessage = z.infer<typeof peerMessageSchema>;
--- a/packages/core/src/quota/customerWindow.ts
+++ b/packages/core/src/quota/customerWindow.ts
@@ -17,11 +17,33 @@
 export class CustomerWindow {
   readonly #windowMs: number;
   readonly #admittedAtMs: number[] = [];
+  #toldAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(windowMs: number) {
     this.#windowMs = windowMs;
   }
 
+  /**
+   * Counts requests that another home admitted; each stands for `weight` requests, as those of hosts that
+   * died with the other home are not told.
+   */
+  add(momentsMs: readonly number[], weight: number, nowMs: number): void {
+    this.#toldAtMs = nowMs;
+    const count = Math.round(momentsMs.length * weight);
+    for (let index = 0; index < count; index += 1) {
+      const momentMs = momentsMs[Math.floor(index / weight)];
+      if (momentMs !== undefined) {
+        this.#admittedAtMs.push(momentMs);
+      }
+    }
+    this.#admittedAtMs.sort((one, other) => one - other);
+  }
+
+  /** True while what another home admitted may count, of which not all need be known here. */
+  isInherited(nowMs: number): boolean {
+    return nowMs - this.#toldAtMs < this.#windowMs;
+  }
+
   /** Admits one request; gives the time until the next has room where there is none, in ms. */
   take(customer: Customer, {fleetShare, slack}: CustomerShare, nowMs: number): number {
     const {ratePerSecond, burstRequests} = customer;
--- a/packages/core/src/quota/quotaEntryTask.ts
+++ b/packages/core/src/quota/quotaEntryTask.ts
@@ -32,6 +32,13 @@
   readonly askedAtMs: number;
 }
 
+/** A request of a customer that was admitted on behalf of this host. */
+interface Admitted {
+  readonly atMs: number;
+  /** Homes that count it: the one that admitted it and those that were told. */
+  readonly knownTo: string[];
+}
+
 const timerId = 'quota.asks';
 const sweepMs = 40;
 /** Life of a permission: it is used as soon as a server is found, in ms. */
@@ -55,6 +62,7 @@
   readonly #askByRequest = new Map<number, number>();
   readonly #verdicts = new Map<number, Verdict>();
   readonly #wanted = new Set<number>();
+  readonly #admittedByCustomer = new Map<string, Admitted[]>();
   readonly #loneWindows = new Map<string, CustomerWindow>();
   #customers = new Map<string, Customer>();
   #knownHosts = 1;
@@ -84,7 +92,7 @@
       case 'rosterChanged':
         this.#finder.place(message.live);
         this.#knownHosts = Math.max(1, message.knownCount);
-        return this.#moveAsks(message.live, nowMs);
+        return [...this.#greetHomes(nowMs), ...this.#moveAsks(message.live, nowMs)];
       case 'peerMessageReceived':
         return this.#onPeer(message.fromHostId, message.message, nowMs);
       case 'timerFired':
@@ -122,7 +130,11 @@
     this.#asks.set(askId, {requestId, customerId, homeId, askedAtMs: nowMs});
     this.#askByRequest.set(requestId, askId);
     const message: PeerMessage = {type: 'quotaAsk', askId, customerId};
-    return [{type: 'sendToPeer', toHostId: homeId, message}, ...this.#armTimer(nowMs)];
+    return [
+      ...this.#greet(customerId, homeId, nowMs),
+      {type: 'sendToPeer', toHostId: homeId, message},
+      ...this.#armTimer(nowMs),
+    ];
   }
 
   /** A host that no home answers uses its own part of the rate, as if all hosts did so at once. */
@@ -148,6 +160,9 @@
     this.#asks.delete(message.askId);
     this.#askByRequest.delete(ask.requestId);
     const {isGranted, retryAfterMs} = message;
+    if (isGranted) {
+      this.#noteAdmitted(ask.customerId, fromHostId, nowMs);
+    }
     return this.#settle(ask.requestId, {isGranted, retryAfterMs}, nowMs);
   }
 
@@ -180,6 +195,56 @@
     }
   }
 
+  #noteAdmitted(customerId: string, homeId: string, nowMs: number): void {
+    const admitted = this.#admittedByCustomer.get(customerId) ?? [];
+    this.#admittedByCustomer.set(customerId, admitted);
+    admitted.push({atMs: nowMs, knownTo: [homeId]});
+    this.#forgetOld(admitted, nowMs);
+  }
+
+  #forgetOld(admitted: Admitted[], nowMs: number): void {
+    const startMs = nowMs - this.#options.bounds.rateWindowMs;
+    while ((admitted[0]?.atMs ?? nowMs) <= startMs) {
+      admitted.shift();
+    }
+  }
+
+  /** Tells homes that are new to a customer what the former ones admitted in the current window. */
+  #greetHomes(nowMs: number): readonly CoreMessage[] {
+    const messages: CoreMessage[] = [];
+    for (const customerId of this.#admittedByCustomer.keys()) {
+      const homeId = this.#finder.homeOf(customerDuty(customerId), nowMs);
+      if (homeId !== undefined) {
+        messages.push(...this.#greet(customerId, homeId, nowMs));
+      }
+    }
+    return messages;
+  }
+
+  #greet(customerId: string, homeId: string, nowMs: number): readonly CoreMessage[] {
+    const admitted = this.#admittedByCustomer.get(customerId);
+    if (admitted === undefined) {
+      return [];
+    }
+    this.#forgetOld(admitted, nowMs);
+    if (admitted.length === 0) {
+      this.#admittedByCustomer.delete(customerId);
+      return [];
+    }
+    const admittedAgoMs: number[] = [];
+    for (const {atMs, knownTo} of admitted) {
+      if (!knownTo.includes(homeId)) {
+        knownTo.push(homeId);
+        admittedAgoMs.push(nowMs - atMs);
+      }
+    }
+    if (admittedAgoMs.length === 0) {
+      return [];
+    }
+    const message: PeerMessage = {type: 'quotaHello', customerId, admittedAgoMs};
+    return [{type: 'sendToPeer', toHostId: homeId, message}];
+  }
+
   /** Asks anew what was asked of a host that is gone. */
   #moveAsks(live: readonly LiveHost[], nowMs: number): readonly CoreMessage[] {
     const liveIds = new Set(live.map(({hostId}) => hostId));
--- a/packages/core/src/quota/quotaHomeTask.ts
+++ b/packages/core/src/quota/quotaHomeTask.ts
@@ -20,9 +20,14 @@
 
 /** Part of a customer's rate that a stand-in hands out: with a home of one data centre in three it stays below the overshoot. */
 const standInShare = 0.75;
+/** The same for a home within a window after it took over: half of the hosts may be gone without a word. */
+const inheritedShare = 0.85;
 /** Part of the slack in a customer's rate that a home uses while it hears the whole fleet. */
 const usedSlack = 0.9;
 
+/** Most requests for which one that is told may stand, where most of the fleet died with the former home. */
+const maxWeight = 3;
+
 /** Decides for customers whose home is here whether a request lies within rate and burst of the fleet. */
 export class QuotaHomeTask implements CoreTask {
   readonly accepts = ['peerMessageReceived', 'documentInForce', 'rosterChanged'] as const;
@@ -33,6 +38,8 @@
   readonly #windows = new Map<string, CustomerWindow>();
   #customers = new Map<string, Customer>();
   #fleetShare = 1;
+  /** Hosts known for each host that lives; what the others were granted lately is not told. */
+  #knownPerLive = 1;
 
   constructor(options: QuotaHomeTaskOptions) {
     this.#options = options;
@@ -47,6 +54,7 @@
       case 'documentInForce':
         return this.#onDocument(message.document);
       case 'rosterChanged':
+        this.#knownPerLive = message.knownCount / Math.max(1, message.live.length);
         this.#fleetShare = fleetShare(message, this.#options.bounds.rateOvershoot);
         this.#finder.place(message.live);
         this.#heard.place(message.live);
@@ -68,6 +76,12 @@
 
   #onPeer(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
     this.#heard.note(fromHostId, nowMs);
+    if (message.type === 'quotaHello') {
+      const momentsMs = message.admittedAgoMs.map((agoMs) => nowMs - agoMs);
+      const weight = Math.min(maxWeight, Math.max(1, this.#knownPerLive));
+      this.#window(message.customerId).add(momentsMs, weight, nowMs);
+      return [];
+    }
     if (message.type !== 'quotaAsk') {
       return [];
     }
@@ -76,12 +90,8 @@
     if (customer === undefined) {
       return [];
     }
-    let window = this.#windows.get(customerId);
-    if (window === undefined) {
-      window = new CustomerWindow(this.#options.bounds.rateWindowMs);
-      this.#windows.set(customerId, window);
-    }
-    const retryAfterMs = window.take(customer, this.#shareFor(customerId, nowMs), nowMs);
+    const window = this.#window(customerId);
+    const retryAfterMs = window.take(customer, this.#shareFor(customerId, window, nowMs), nowMs);
     const isGranted = retryAfterMs === 0;
     const answer: PeerMessage = isGranted
       ? {type: 'quotaAnswer', askId, isGranted}
@@ -89,19 +99,31 @@
     return [{type: 'sendToPeer', toHostId: fromHostId, message: answer}];
   }
 
+  #window(customerId: string): CustomerWindow {
+    let window = this.#windows.get(customerId);
+    if (window === undefined) {
+      window = new CustomerWindow(this.#options.bounds.rateWindowMs);
+      this.#windows.set(customerId, window);
+    }
+    return window;
+  }
+
   /**
    * Part of the customer's rate that this host may hand out.
    *
    * A home that lost sight of a data centre leaves that part to the home there. A host that is asked
    * though it is not the first in the order keeps a rest back for the home that it stands in for.
    */
-  #shareFor(customerId: string, nowMs: number): CustomerShare {
+  #shareFor(customerId: string, window: CustomerWindow, nowMs: number): CustomerShare {
     const {selfId, bounds} = this.#options;
     const heard = Math.min(this.#fleetShare, this.#heard.share(nowMs));
     const isFirst = this.#finder.homeOf(customerDuty(customerId), nowMs) === selfId;
     if (!isFirst) {
       return {fleetShare: heard * standInShare, slack: 0};
     }
+    if (window.isInherited(nowMs)) {
+      return {fleetShare: heard * inheritedShare, slack: 0};
+    }
     return {fleetShare: heard, slack: heard === 1 ? bounds.rateSlack * usedSlack : 0};
   }
 }
