Try ways in doubt with new connections

Change: a silence that a server owes to one host while it answers two others puts the ways of that host in doubt for 8 s; work that may run once then goes to servers that have not answered it since over new connections only, so that a closed way shows before anything was sent. A request may fail to reach four servers instead of two.

--- a/packages/bench/src/__tests__/grayPlacement.test.ts
+++ b/packages/bench/src/__tests__/grayPlacement.test.ts
@@ -91,6 +91,34 @@
   });
 });
 
+describe('placing work while the ways of some hosts to half of the servers are cut', () => {
+  before(async () => {
+    hash = await loadXxHash();
+  });
+
+  it('loses few payments of these hosts', () => {
+    const fleet = grayFleet(hash, {seed: 31, errorShare: 0});
+    fleet.queue.runUntil(settleMs);
+    const cutHosts = [fleet.hostId(3), fleet.hostId(10), fleet.hostId(17), fleet.hostId(20)];
+    grayLoad(fleet, {forMs: 12_000, mix: {lookup: 20, payment: 46}, perSecond: 66});
+    fleet.queue.runUntil(settleMs + 2_000);
+    for (const hostId of cutHosts) {
+      for (const [index, serverId] of [...fleet.servers.keys()].entries()) {
+        if (index % 2 === 0) {
+          fleet.silentPaths.add(`${hostId}>${serverId}`);
+        }
+      }
+    }
+    fleet.queue.runUntil(settleMs + 16_000);
+    const payments = fleet.outcomes.filter(
+      ({routeId, hostId}) => routeId === 'payment' && cutHosts.includes(hostId),
+    );
+    const summary = summarise(payments);
+    expect(summary.doubtfulShare).to.be.below(0.1);
+    expect(summary.refusedShare).to.be.below(0.03);
+  });
+});
+
 describe('the home of a backend', () => {
   before(async () => {
     hash = await loadXxHash();
--- a/packages/bench/src/gray/grayFleet.ts
+++ b/packages/bench/src/gray/grayFleet.ts
@@ -77,6 +77,8 @@
 const slotsPerServer = 2;
 const maxWaiting = 8;
 const callerBudgetMs = 2_500;
+/** Wait of a host for a new connection, in ms. */
+const connectTimeoutMs = 120;
 
 /** A fleet whose hosts find each other, before servers that fail grayly, in one process and virtual time. */
 export class GrayFleet {
@@ -360,6 +362,18 @@
       });
     });
     if (this.#options.silentPaths.has(`${host.id}>${server.id}`)) {
+      if (attempt.needsNewConnection) {
+        this.after(connectTimeoutMs, () => {
+          const failure = 'connect';
+          host.tell({
+            type: 'attemptFailed',
+            requestId,
+            attempt: number,
+            failure,
+            mayHaveRun: false,
+          });
+        });
+      }
       return;
     }
     this.after(delayMs, () => {
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -396,6 +396,8 @@
   retryAfterMs: z.number().min(0).optional(),
   /** Time after which an unanswered attempt is late enough to send a second one, in ms. */
   secondAfterMs: z.number().min(0).optional(),
+  /** True where the way of the host to the server is in doubt, so that a new connection should try it. */
+  needsNewConnection: z.boolean().optional(),
 });
 
 /** A granted attempt ended, or was never started. */
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -198,6 +198,8 @@
   origin: z.string(),
   /** Time after which an unanswered attempt is late enough to send a second one, in ms. */
   secondAfterMs: z.number().optional(),
+  /** True where work that may run once should be sent over a new connection only. */
+  needsNewConnection: z.boolean().optional(),
 });
 
 export const serverRefusedSchema = z.object({
@@ -265,6 +267,8 @@
   customerId: z.string().optional(),
   notRunHeader: z.string(),
   maxBodyBytes: z.number(),
+  /** True where the attempt should be sent over a new connection only. */
+  needsNewConnection: z.boolean(),
 });
 
 export const deliverAnswerSchema = z.object({
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -9,6 +9,7 @@
 import type {UselessAsk} from './lineAdmission.ts';
 import {OutcomeShare} from './outcomeShare.ts';
 import type {PlacementCandidate, PlacementPolicy, PlacementSituation} from './placementPolicy.ts';
+import {PathDoubts} from './pathDoubts.ts';
 import {RepeatWindow} from './repeatWindow.ts';
 import {ServerTrust} from './serverTrust.ts';
 import type {RunningAttempt} from './serverTrust.ts';
@@ -24,6 +25,8 @@
       readonly risk: number;
       readonly secondAfterMs: number;
       readonly provenAgoMs: number;
+      /** True where the way of the host to the server is in doubt. */
+      readonly needsNewConnection: boolean;
     }
   | {readonly state: 'waiting'; readonly expectedWaitMs: number}
   | {readonly state: 'refused'; readonly kind: ErrorKind; readonly retryAfterMs: number};
@@ -86,6 +89,8 @@
  * its real work still answers what needs none, such as its probes.
  */
 const trivialShare = 1 / 6;
+/** An attempt that was cut is taken for a silent one where less than this share of the answers takes longer. */
+const lateBelowShare = 0.05;
 /** Work is not begun where less than this share of the answers would come in time. */
 const usefulShare = 0.75;
 
@@ -106,6 +111,7 @@
   readonly #outcomes = new OutcomeShare();
   readonly #repeats: RepeatWindow;
   readonly #crashes = new CrashSuspects();
+  readonly #paths = new PathDoubts();
   readonly #misdirectedUntilMs = new Map<string, number>();
   readonly admission = new LineAdmission();
   #servers: readonly DiscoveredServer[] = [];
@@ -267,11 +273,21 @@
     ranForMs: number,
     nowMs: number,
   ): void {
+    if (outcome === 'ok') {
+      this.#paths.noteAnswer(serverId, attempt, nowMs);
+    } else if (outcome === 'unreachable' || outcome === 'timeout' || this.#isLate(attempt, nowMs)) {
+      this.#paths.noteSilence(serverId, attempt, nowMs);
+    }
     if (outcome !== 'ok' || ranForMs >= this.#trivialBelowMs) {
       this.#trust(serverId).end(attempt, outcome, nowMs, this.#shareAbove);
     }
   }
 
+  /** True where most answers come sooner than this attempt ran. */
+  #isLate({routeId, startedAtMs}: RunningAttempt, nowMs: number): boolean {
+    return this.#shareAbove(routeId, nowMs - startedAtMs) < lateBelowShare;
+  }
+
   /** Takes what a host runs and saw, where this host has just become the home. */
   welcome(hostId: string, {running, recent}: PlaceHello, nowMs: number): void {
     for (const {askId, serverId, routeId, ageMs} of running) {
@@ -325,6 +341,7 @@
       risk,
       provenAgoMs,
       secondAfterMs: this.#secondAfterMs(routeId, risk),
+      needsNewConnection: !ask.isRepeatable && this.#paths.isInDoubt(hostId, serverId, nowMs),
     };
   }
 
@@ -380,7 +397,8 @@
         running: trust.running.size,
         recentStarts: trust.recentStarts(nowMs),
         lastStartMs: trust.lastStartMs,
-        isConnected: ask.connectedIds.includes(server.id),
+        isConnected:
+          ask.connectedIds.includes(server.id) && !this.#paths.isInDoubt(hostId, server.id, nowMs),
         isLocal: server.dataCentre === dataCentre,
       };
       (this.#lapsed.has(server.id) ? lapsed : usable).push(candidate);
--- a/packages/core/src/placement/placementEntryTask.ts
+++ b/packages/core/src/placement/placementEntryTask.ts
@@ -196,7 +196,7 @@
 
   #onGranted(ask: Ask, answer: PlaceAnswer, nowMs: number): readonly CoreMessage[] {
     this.#forget(ask);
-    const {serverId = '', secondAfterMs} = answer;
+    const {serverId = '', secondAfterMs, needsNewConnection} = answer;
     const origin = this.#originById.get(serverId);
     if (origin === undefined) {
       // The home heard of the server first; ask again without it.
@@ -217,7 +217,9 @@
       startedAtMs: nowMs,
       homeId: ask.homeId,
     });
-    return [{type: 'serverGranted', requestId, serverId, origin, secondAfterMs}];
+    return [
+      {type: 'serverGranted', requestId, serverId, origin, secondAfterMs, needsNewConnection},
+    ];
   }
 
   #chooseAlone(wanted: ServerWanted, nowMs: number): readonly CoreMessage[] {
--- a/packages/core/src/placement/placementHomeTask.ts
+++ b/packages/core/src/placement/placementHomeTask.ts
@@ -166,6 +166,7 @@
     if (placement.state === 'granted') {
       answer.serverId = placement.serverId;
       answer.secondAfterMs = placement.secondAfterMs;
+      answer.needsNewConnection = placement.needsNewConnection ? true : undefined;
     }
     if (placement.state === 'refused') {
       answer.kind = placement.kind;
--- a/packages/core/src/request/requestState.ts
+++ b/packages/core/src/request/requestState.ts
@@ -11,6 +11,8 @@
   readonly origin: string;
   /** Time after which an unanswered attempt is joined by a second one, in ms; absent for never. */
   readonly secondAfterMs: number | undefined;
+  /** True where the attempt is sent over a new connection only, as the way to the server is in doubt. */
+  readonly needsNewConnection: boolean;
 }
 
 /** One attempt that runs. */
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -60,8 +60,8 @@
 const watchAnswerMs = 60_000;
 /** Connections that one request may break before it is not sent again. */
 const maxLosses = 2;
-/** Servers that one request may fail to reach before it is refused, besides its attempts. */
-const maxUnreached = 2;
+/** Servers that one request may fail to reach before it is refused, besides its attempts: half of the ways may be cut. */
+const maxUnreached = 4;
 
 /** Leads each request from its arrival to its answer or refusal; decides on retries. */
 export class RequestTask implements CoreTask {
@@ -169,8 +169,9 @@
       case 'claimRefused':
         return this.#onClaimRefused(request, message.kind, message.answer, nowMs);
       case 'serverGranted': {
-        const {serverId, origin, secondAfterMs} = message;
-        return this.#onServer(request, {serverId, origin, secondAfterMs}, nowMs);
+        const {serverId, origin, secondAfterMs, needsNewConnection = false} = message;
+        const granted = {serverId, origin, secondAfterMs, needsNewConnection};
+        return this.#onServer(request, granted, nowMs);
       }
       case 'serverRefused':
         return this.#onServerRefused(request, message.kind, message.retryAfterMs, nowMs);
--- a/packages/core/src/request/startAttempt.ts
+++ b/packages/core/src/request/startAttempt.ts
@@ -23,5 +23,6 @@
     customerId: request.customerId,
     notRunHeader: request.backend.notRunHeader,
     maxBodyBytes: request.route.maxBodyBytes,
+    needsNewConnection: granted.needsNewConnection,
   };
 }
--- a/packages/proxy/src/backends/backendMessages.ts
+++ b/packages/proxy/src/backends/backendMessages.ts
@@ -17,6 +17,8 @@
   readonly body: Readable | Buffer | undefined;
   readonly timeoutMs: number;
   readonly notRunHeader: string;
+  /** True where the way to the server is in doubt, so that only a new connection is used. */
+  readonly needsNewConnection: boolean;
 }
 
 /** What the backend task takes. */
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -129,7 +129,7 @@
     this.#running.set(name, controller);
     this.#serverIdByOrigin.set(origin, run.serverId);
     const connections = this.#connectionsTo(origin);
-    const connection = connections.acquire();
+    const connection = connections.acquire({isNew: run.needsNewConnection});
     this.#options.count(connection.hasConnected ? 'server.reused' : 'server.connected');
     this.#tellIdle();
     try {
--- a/packages/proxy/src/backends/serverConnections.ts
+++ b/packages/proxy/src/backends/serverConnections.ts
@@ -39,9 +39,9 @@
     return this.#all.size === 0;
   }
 
-  /** An idle connection, or a new one that opens with its first request. */
-  acquire(): ServerConnection {
-    const connection = this.#idle.pop() ?? this.#create();
+  /** An idle connection, or a new one that opens with its first request; always a new one where `isNew`. */
+  acquire({isNew = false}: {isNew?: boolean} = {}): ServerConnection {
+    const connection = (isNew ? undefined : this.#idle.pop()) ?? this.#create();
     connection.isBusy = true;
     return connection;
   }
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -269,6 +269,7 @@
       body: body instanceof Buffer && body.length === 0 ? undefined : body,
       timeoutMs: command.timeoutMs,
       notRunHeader: command.notRunHeader,
+      needsNewConnection: command.needsNewConnection,
     });
   }
 
