--- a/packages/core/src/__tests__/placement.test.ts
+++ b/packages/core/src/__tests__/placement.test.ts
@@ -32,6 +32,7 @@
   serverCount: 8,
   failedShare: 0,
   hasSpareRepeats: true,
+  bodyBytes: 0,
 };
 
 describe('trust in a server', () => {
@@ -105,6 +106,16 @@
     expect(surest.choose(candidates, {...situation, failedShare: 0.2})?.serverId).to.equal('b');
   });
 
+  it('sends a large body to the own data centre unless that is likelier to fail', () => {
+    const large = {...situation, bodyBytes: 60_000};
+    const remote = candidate('remote', {risk: 0.01, isConnected: true});
+    const surest = new SurestServer();
+    const near = (risk: number): PlacementCandidate => candidate('near', {risk, isLocal: true});
+    expect(surest.choose([remote, near(0.03)], situation)?.serverId).to.equal('remote');
+    expect(surest.choose([remote, near(0.03)], large)?.serverId).to.equal('near');
+    expect(surest.choose([remote, near(0.2)], large)?.serverId).to.equal('remote');
+  });
+
   it('for work that may be repeated is one of which little is known, while few are proven', () => {
     const candidates = [candidate('a', {risk: 0.01}), candidate('b', {risk: 0.25})];
     const trial = new TrialServer(new SurestServer());
@@ -178,6 +189,7 @@
         leftMs: 1_000,
         requestDigest: '',
         requestName: '',
+        bodyBytes: 0,
       };
       line.add(key, {hostId: 'h', ask, arrivedAtMs, impatientAtMs: 5_000, uselessAtMs: 5_000});
     };
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -383,6 +383,8 @@
   requestDigest: z.string(),
   /** Name of the request towards callers and servers, for the logs. */
   requestName: z.string(),
+  /** Announced size of the request's body, in bytes; 0 where unknown. */
+  bodyBytes: z.number().min(0),
 });
 
 export const placeAnswerSchema = z.object({
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -189,6 +189,8 @@
   requestDigest: z.string().optional(),
   /** Name of the request towards callers and servers, for the logs. */
   requestName: z.string().optional(),
+  /** Announced size of the request's body, in bytes; absent where unknown. */
+  bodyBytes: z.number().min(0).optional(),
 });
 
 export const serverGrantedSchema = z.object({
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -196,7 +196,7 @@
     nowMs: number,
   ): Placement | undefined {
     const candidates = this.#candidates(ask, asker, nowMs);
-    const situation = this.#situation(nowMs);
+    const situation = this.#situation(ask, nowMs);
     const isTrialAllowed =
       ask.isRepeatable && !ask.isRepeat && this.#typicalWorkMs(ask) >= this.#trivialBelowMs;
     const chosen = (isTrialAllowed ? this.#trial : this.#surest).choose(candidates, situation);
@@ -418,9 +418,10 @@
     return Math.max(1, Math.floor(bound * this.#fleetShare));
   }
 
-  #situation(nowMs: number): PlacementSituation {
+  #situation({bodyBytes}: PlaceAsk, nowMs: number): PlacementSituation {
     return {
       nowMs,
+      bodyBytes,
       serverCount: this.#servers.length,
       failedShare: this.#outcomes.failed,
       hasSpareRepeats: this.#repeats.use(nowMs) < spareRepeatsBelow,
--- a/packages/core/src/placement/placementEntryTask.ts
+++ b/packages/core/src/placement/placementEntryTask.ts
@@ -166,6 +166,7 @@
       leftMs: Math.max(0, leftUntilMs - nowMs),
       requestDigest: wanted.requestDigest ?? '',
       requestName: wanted.requestName ?? '',
+      bodyBytes: wanted.bodyBytes ?? 0,
     };
     return {type: 'sendToPeer', toHostId: homeId, message};
   }
--- a/packages/core/src/placement/placementPolicy.ts
+++ b/packages/core/src/placement/placementPolicy.ts
@@ -20,6 +20,8 @@
   readonly nowMs: number;
   /** Servers in service, with a free slot or without. */
   readonly serverCount: number;
+  /** Size of the request's body, in bytes. */
+  readonly bodyBytes: number;
   /** Share of the backend's attempts of the last seconds that failed, 0 to 1. */
   readonly failedShare: number;
   /** True where the fleet has repeats to spare for attempts that may fail. */
--- a/packages/core/src/request/admitRequest.ts
+++ b/packages/core/src/request/admitRequest.ts
@@ -92,6 +92,7 @@
     arrivedAtMs: nowMs,
     deadlineAtMs: nowMs + budgetMs,
     idempotencyKey: message.idempotencyKey,
+    bodyBytes: message.bodyBytes ?? 0,
     requestDigest,
     phase: 'claim',
     attempt: 0,
--- a/packages/core/src/request/requestState.ts
+++ b/packages/core/src/request/requestState.ts
@@ -39,6 +39,8 @@
   readonly arrivedAtMs: number;
   readonly deadlineAtMs: number;
   readonly idempotencyKey: string | undefined;
+  /** Announced size of the body, in bytes; 0 where unknown. */
+  readonly bodyBytes: number;
   /** Names repeats of the request; empty where unknown. */
   readonly requestDigest: string;
   phase: RequestPhase;
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -260,6 +260,7 @@
       priority: request.priority,
       requestDigest: request.requestDigest,
       requestName: request.requestName,
+      bodyBytes: request.bodyBytes,
     };
   }
 
