Requests that may be repeated wait for a better server too

Change: but for trials, lookups are sent to a server of at most 0.5 risk at first and 0.85 at last, or near the best of all; the policy of trials names a server only where a trial is due.

--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -44,12 +44,18 @@
 
 /** Mean work time assumed before answers came, in ms. */
 const firstGuessMs = 250;
+interface AcceptedRisk {
+  readonly atFirst: number;
+  readonly atLast: number;
+}
+
 /**
  * Risk up to which work that may run once is started at once, and after most of the time for waiting is
  * over. Beyond that it is better refused, which the caller can act on, than lost.
  */
-const acceptedRiskAtFirst = 0.2;
-const acceptedRiskAtLast = 0.7;
+const acceptedForOnce: AcceptedRisk = {atFirst: 0.2, atLast: 0.7};
+/** The same for work that may be repeated: a failure costs it time and the fleet a repeat. */
+const acceptedForRepeatable: AcceptedRisk = {atFirst: 0.5, atLast: 0.85};
 /** Work waits for a better server only where one is better by this factor and this much. */
 const worthWaitingFactor = 1.5;
 const worthWaitingRisk = 0.05;
@@ -103,7 +109,7 @@
 export class BackendHome {
   readonly #options: BackendHomeOptions;
   readonly #surest: PlacementPolicy = new SurestServer();
-  readonly #trial: PlacementPolicy = new TrialServer(this.#surest);
+  readonly #trial: PlacementPolicy = new TrialServer();
   readonly #trusts = new Map<string, ServerTrust>();
   readonly #placed = new Map<string, PlacedAttempt>();
   readonly #workTimes = new Map<string, WorkTimes>();
@@ -199,17 +205,17 @@
     const situation = this.#situation(ask, nowMs);
     const isTrialAllowed =
       ask.isRepeatable && !ask.isRepeat && this.#typicalWorkMs(ask) >= this.#trivialBelowMs;
-    const chosen = (isTrialAllowed ? this.#trial : this.#surest).choose(candidates, situation);
-    if (chosen === undefined) {
-      return undefined;
-    }
-    if (!isTrialAllowed && !this.#isAccepted(chosen, ask, arrivedAtMs, nowMs)) {
-      return undefined;
+    const tried = isTrialAllowed ? this.#trial.choose(candidates, situation) : undefined;
+    if (tried !== undefined) {
+      return this.#grant(key, ask, asker, tried, nowMs);
     }
-    return this.#grant(key, ask, asker, chosen, nowMs);
+    const chosen = this.#surest.choose(candidates, situation);
+    return chosen !== undefined && this.#isAccepted(chosen, ask, arrivedAtMs, nowMs)
+      ? this.#grant(key, ask, asker, chosen, nowMs)
+      : undefined;
   }
 
-  /** True where work that may run once should start on this server rather than wait for another. */
+  /** True where work should start on this server rather than wait for another. */
   #isAccepted(
     {risk, lastStartMs}: PlacementCandidate,
     ask: PlaceAsk,
@@ -222,7 +228,8 @@
     }
     const patienceMs = Math.max(1, this.#inTargetForMs(ask) * patienceShare);
     const passed = Math.min(1, (nowMs - arrivedAtMs) / patienceMs);
-    const byWait = acceptedRiskAtFirst + (acceptedRiskAtLast - acceptedRiskAtFirst) * passed;
+    const {atFirst, atLast} = ask.isRepeatable ? acceptedForRepeatable : acceptedForOnce;
+    const byWait = atFirst + (atLast - atFirst) * passed;
     const byOthers = Math.min(hopelessRisk, best * worthWaitingFactor + worthWaitingRisk);
     return risk <= Math.max(byWait, byOthers);
   }
