Tell former homes of a backend how attempts ended, and forget those that nobody ended

From 13.8 s to its end the home used 4 of 13 servers though the others were sound: the home had been slow for some seconds, hosts passed over it and told their running attempts to the next home, and their ends to that one only. Back in its duty, the former home took its servers for full. Change: ends are told to every home that counted the attempt; an attempt that nobody ended is forgotten half a second after its route's timeout (15 s before, and only when the fleet changed). In a crowded line work takes the risk at once that it took at the end of its wait. A second attempt begins no earlier than 0.15 of the target (10 ms on routes without work, which used up the repeats). Tests: a home that is not heard for 0.6 s; failed first with no start on a server in the four seconds after. Idle servers of which little is known are used without repeats to spare; routes without work get no second attempts (both passed before too). The bound on repeats counts all requests that callers sent, as operators state it, not those that ran.

--- a/packages/bench/src/__tests__/grayPlacement.test.ts
+++ b/packages/bench/src/__tests__/grayPlacement.test.ts
@@ -152,6 +152,26 @@
     expect(struck.inTargetShare).to.be.above(calm.inTargetShare - 0.01);
   });
 
+  it('that was not heard for a while takes no server for full whose work ended meanwhile', () => {
+    const fleet = grayFleet(hash, {seed: 17, errorShare: 0, backends: [{id: 'core', servers: 12}]});
+    fleet.queue.runUntil(settleMs);
+    grayLoad(fleet, {forMs: 10_000, perSecond: 70, mix: {lookup: 20, payment: 46}});
+    fleet.queue.runUntil(settleMs + 2_000);
+    const homeId = fleet.logs.findLast(({event}) => event === 'place.granted')?.hostId ?? '';
+    for (const hostId of fleet.hosts.keys()) {
+      fleet.link.cut(homeId, hostId);
+      fleet.link.cut(hostId, homeId);
+    }
+    fleet.queue.runUntil(settleMs + 2_600);
+    fleet.link.heal();
+    fleet.queue.runUntil(settleMs + 13_000);
+    const laterFromMs = settleMs + 6_000;
+    for (const [serverId, startsMs] of fleet.startsMs) {
+      const later = startsMs.filter((startMs) => startMs > laterFromMs);
+      expect(later.length, serverId).to.be.above(10);
+    }
+  });
+
   function worstSecond(startsMs: readonly number[]): number {
     let worst = 0;
     for (const [index, startMs] of startsMs.entries()) {
@@ -255,6 +275,47 @@
     expect(fed).to.be.below(40);
   });
 
+  it('uses servers of which little is known rather than refuse, also without repeats to spare', () => {
+    const bounds = {...DEFAULT_FLEET_BOUNDS, retryRatio: 0.001, retrySlack: 0};
+    const fleet = grayFleet(hash, {
+      seed: 15,
+      backends: [{id: 'core', servers: 14}],
+      errorShare: 0,
+      bounds,
+    });
+    fleet.queue.runUntil(settleMs);
+    const servers = [...fleet.servers.values()];
+    for (const server of servers.slice(3)) {
+      server.mode = 'silent';
+    }
+    const mix = {lookup: 20, payment: 46};
+    grayLoad(fleet, {forMs: 16_000, perSecond: 80, mix});
+    fleet.queue.runUntil(settleMs + 4_000);
+    for (const server of servers) {
+      server.mode = 'well';
+    }
+    fleet.queue.runUntil(settleMs + 18_000);
+    const later = fleet.outcomes.filter(({arrivedAtMs}) => arrivedAtMs > settleMs + 8_000);
+    expect(summarise(later).servedShare).to.be.above(0.9);
+  });
+
+  it('sends no second attempt of a request without work while a server is a little slow', () => {
+    const fleet = grayFleet(hash, {seed: 16, errorShare: 0});
+    fleet.queue.runUntil(settleMs);
+    grayLoad(fleet, {forMs: 10_000, mix: {lookup: 10, payment: 46, check: 30}, perSecond: 86});
+    fleet.queue.runUntil(settleMs + 13_000);
+    const seconds = fleet.logs.filter(
+      ({event, fields}) => event === 'attempt.started' && Number(fields.beside) > 0,
+    );
+    const checks = new Set(
+      fleet.logs
+        .filter(({event, fields}) => event === 'request.delivering' && fields.route === 'check')
+        .map(({fields}) => fields.requestName),
+    );
+    const ofChecks = seconds.filter(({fields}) => checks.has(fields.requestName));
+    expect(ofChecks.length).to.be.at.most(checks.size * 0.01);
+  });
+
   it('refuses with a wait, and truly', () => {
     const fleet = overload();
     const refused = fleet.outcomes.filter(({refusal}) => refusal === 'overloaded');
@@ -336,7 +397,7 @@
     const repeats = fleet.logs.filter(
       ({event, fields}) => event === 'place.granted' && fields.isRepeat === true,
     );
-    const asked = fleet.runsByRequest.size;
+    const asked = fleet.outcomes.length;
     expect(repeats.length).to.be.at.most(asked * 0.2 + 10);
   });
 });
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -78,12 +78,18 @@
 const secondAfterShareOnTrial = 0.8;
 /** Latest moment of a second attempt, as a share of the time in which the answer serves fully. */
 const latestSecondShare = 0.45;
+/** Earliest moment of a second attempt, as a share of that time: a pause of a host or link is no silence. */
+const earliestSecondShare = 0.15;
+/** Target assumed for a route that names none, in ms. */
+const fallbackTargetMs = 1_000;
 /** Risk from which an attempt counts as a trial. */
 const trialRisk = 0.05;
 /** Part of the allowed repeats above which nothing is sent to servers that are not proven. */
 const spareRepeatsBelow = 0.6;
-/** Age at which an attempt that nobody ended is forgotten, in ms: above any route's timeout here. */
-const forgottenAfterMs = 15_000;
+/** Timeout assumed for a route that is not known any more, in ms. */
+const fallbackTimeoutMs = 5_000;
+/** Time after its route's timeout at which an attempt that nobody ended is forgotten, in ms. */
+const lateEndMs = 500;
 /** Time for which a server that said it is another one gets nothing, in ms. */
 const misdirectedMs = 5_000;
 /** Risk below which the slots of a server count for the length of a wait. */
@@ -125,6 +131,7 @@
   #lapsed: ReadonlySet<string> = new Set();
   #backend: Backend | undefined;
   #targetByRoute = new Map<string, number>();
+  #timeoutByRoute = new Map<string, number>();
   #fleetShare = 1;
 
   constructor(options: BackendHomeOptions) {
@@ -147,6 +154,7 @@
     this.#targetByRoute = new Map(
       document.routes.map(({id, targetLatencyMs, timeoutMs}) => [id, targetLatencyMs ?? timeoutMs]),
     );
+    this.#timeoutByRoute = new Map(document.routes.map(({id, timeoutMs}) => [id, timeoutMs]));
   }
 
   setServers({servers, lapsedServerIds, outOfService}: ServersKnown, nowMs: number): void {
@@ -227,7 +235,9 @@
       return nowMs - lastStartMs >= hopelessRestMs;
     }
     const patienceMs = Math.max(1, this.#inTargetForMs(ask) * patienceShare);
-    const passed = Math.min(1, (nowMs - arrivedAtMs) / patienceMs);
+    // In a crowded line nobody waits for long: what is not begun now is refused.
+    const isLast = this.admission.isCrowded(ask.priority);
+    const passed = isLast ? 1 : Math.min(1, (nowMs - arrivedAtMs) / patienceMs);
     const {atFirst, atLast} = ask.isRepeatable ? acceptedForRepeatable : acceptedForOnce;
     const byWait = atFirst + (atLast - atFirst) * passed;
     const byOthers = Math.min(hopelessRisk, best * worthWaitingFactor + worthWaitingRisk);
@@ -312,8 +322,9 @@
   /** Forgets attempts whose host is gone or whose end was lost on the way. */
   forgetLost(isAlive: (hostId: string) => boolean, nowMs: number): void {
     for (const [key, attempt] of this.#placed) {
-      const isLost = !isAlive(attempt.hostId) || nowMs - attempt.startedAtMs > forgottenAfterMs;
-      if (isLost) {
+      const {hostId, routeId, startedAtMs} = attempt;
+      const timeoutMs = this.#timeoutByRoute.get(routeId) ?? fallbackTimeoutMs;
+      if (!isAlive(hostId) || nowMs - startedAtMs > timeoutMs + lateEndMs) {
         this.#placed.delete(key);
         this.#trusts.get(attempt.serverId)?.running.delete(key);
       }
@@ -438,9 +449,10 @@
   #secondAfterMs(routeId: string, risk: number): number {
     const times = this.#times(routeId);
     const share = risk > trialRisk ? secondAfterShareOnTrial : secondAfterShare;
-    const targetMs = this.#targetByRoute.get(routeId) ?? Number.POSITIVE_INFINITY;
+    const targetMs = this.#targetByRoute.get(routeId) ?? fallbackTargetMs;
     const latestMs = Math.max(targetMs * latestSecondShare, times.quantileMs(0.5));
-    return Math.min(times.quantileMs(share), latestMs);
+    const earliestMs = targetMs * earliestSecondShare;
+    return Math.min(Math.max(times.quantileMs(share), earliestMs), latestMs);
   }
 
   /** Work time below which an answer says nothing of the server, in ms. */
--- a/packages/core/src/placement/lineAdmission.ts
+++ b/packages/core/src/placement/lineAdmission.ts
@@ -62,13 +62,18 @@
   readonly line = new WaitingLine();
   readonly #ranks = new Map<number, RankState>();
 
+  /** True while more requests of a rank wait than can be served before their target. */
+  isCrowded(priority: number): boolean {
+    return this.line.crowdedRanks.has(priority);
+  }
+
   /** Lets an ask wait, or refuses it where no time is left for that. */
   admit(key: string, terms: WaitTerms, nowMs: number): LineVerdict {
     const {hostId, ask, inTargetForMs, usefulForMs, expectedPerMs} = terms;
     const {priority} = ask;
     const rank = this.#rank(priority);
     rank.expectedPerMs = expectedPerMs;
-    const isCrowded = this.line.crowdedRanks.has(priority);
+    const isCrowded = this.isCrowded(priority);
     const expectedWaitMs = this.#waitMs(rank, nowMs);
     if (usefulForMs <= 0 || (!isCrowded && expectedWaitMs > usefulForMs)) {
       return {state: 'refused', retryAfterMs: Math.max(shortestRetryMs, expectedWaitMs)};
@@ -115,8 +120,9 @@
   takeUseless(nowMs: number): UselessAsk[] {
     const useless: UselessAsk[] = [];
     for (const [key, {hostId, ask, arrivedAtMs, impatientAtMs, uselessAtMs}] of this.line.entries) {
-      const isCrowded = this.line.crowdedRanks.has(ask.priority);
-      const leavesAtMs = isCrowded ? Math.min(impatientAtMs, uselessAtMs) : uselessAtMs;
+      const leavesAtMs = this.isCrowded(ask.priority)
+        ? Math.min(impatientAtMs, uselessAtMs)
+        : uselessAtMs;
       if (nowMs < leavesAtMs) {
         continue;
       }
--- a/packages/core/src/placement/placementEntryTask.ts
+++ b/packages/core/src/placement/placementEntryTask.ts
@@ -47,6 +47,8 @@
   readonly startedAtMs: number;
   /** Home that counts the attempt; undefined where this host chose alone. */
   homeId: string | undefined;
+  /** Homes that counted it before and may go on doing so. */
+  readonly formerHomeIds: string[];
 }
 
 interface LastEnd {
@@ -217,6 +219,7 @@
       serverId,
       startedAtMs: nowMs,
       homeId: ask.homeId,
+      formerHomeIds: [],
     });
     return [
       {type: 'serverGranted', requestId, serverId, origin, secondAfterMs, needsNewConnection},
@@ -251,6 +254,7 @@
       serverId,
       startedAtMs: nowMs,
       homeId: undefined,
+      formerHomeIds: [],
     });
     const count: CoreMessage = {type: 'count', name: 'place.alone', tags: {backend: backendId}};
     return [log, count, {type: 'serverGranted', requestId, serverId, origin}];
@@ -278,11 +282,10 @@
       this.#lastEnds.delete(serverId);
       this.#lastEnds.set(serverId, {backendId, outcome, startedAtMs: grant.startedAtMs, ranForMs});
     }
-    if (grant.homeId === undefined) {
-      return [];
-    }
-    const message: PeerMessage = {type: 'placeEnded', askId: grant.askId, outcome, ranForMs};
-    return [{type: 'sendToPeer', toHostId: grant.homeId, message}];
+    const {homeId, formerHomeIds, askId} = grant;
+    const message: PeerMessage = {type: 'placeEnded', askId, outcome, ranForMs};
+    const homeIds = homeId === undefined ? [] : [homeId, ...formerHomeIds];
+    return homeIds.map((toHostId) => ({type: 'sendToPeer', toHostId, message}));
   }
 
   #withdraw(requestId: number): readonly CoreMessage[] {
@@ -381,6 +384,9 @@
     const running = [];
     for (const grant of this.#grants.values()) {
       if (grant.backendId === backendId) {
+        if (grant.homeId !== undefined && grant.homeId !== homeId) {
+          grant.formerHomeIds.push(grant.homeId);
+        }
         grant.homeId = homeId;
         const {askId, serverId, routeId, startedAtMs} = grant;
         running.push({askId, serverId, routeId, ageMs: nowMs - startedAtMs});
--- a/packages/core/src/placement/placementHomeTask.ts
+++ b/packages/core/src/placement/placementHomeTask.ts
@@ -16,6 +16,8 @@
 const timerId = 'placement.line';
 /** Interval at which waiting requests are looked at besides each end of an attempt, in ms. */
 const sweepMs = 25;
+/** Interval at which attempts whose end was lost are looked for, in ms. */
+const forgetIntervalMs = 500;
 /** Asks remembered so that a repeated ask is told the same, in ms. */
 const answerMemoryMs = 3_000;
 
@@ -44,6 +46,7 @@
   #servers: ServersKnown | undefined;
   #fleetShare = 1;
   #isTimerSet = false;
+  #nextForgetAtMs = 0;
 
   constructor(options: PlacementHomeTaskOptions) {
     this.#options = options;
@@ -103,11 +106,18 @@
     this.#fleetShare = fleetShare(roster, this.#options.bounds.rateOvershoot);
     for (const home of this.#homes.values()) {
       home.setFleetShare(this.#fleetShare);
-      home.forgetLost((hostId) => this.#dataCentreByHost.has(hostId), nowMs);
     }
+    this.#forgetLost(nowMs);
     return this.#serveLines(nowMs);
   }
 
+  #forgetLost(nowMs: number): void {
+    this.#nextForgetAtMs = nowMs + forgetIntervalMs;
+    for (const home of this.#homes.values()) {
+      home.forgetLost((hostId) => this.#dataCentreByHost.has(hostId), nowMs);
+    }
+  }
+
   #onPeer(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
     switch (message.type) {
       case 'placeAsk':
@@ -129,6 +139,9 @@
 
   #onAsk(hostId: string, ask: PlaceAsk, nowMs: number): readonly CoreMessage[] {
     const key = `${hostId}/${ask.askId}`;
+    if (nowMs >= this.#nextForgetAtMs) {
+      this.#forgetLost(nowMs);
+    }
     const home = this.#home(ask.backendId, nowMs);
     const given = this.#given.get(key);
     if (
