Turn to another reader as soon as the registry does not answer the first

A reader that was turned away went on answering its askers with what it knew until that was 2.2 s old, longer than a change may take; a lost answer of the store was noticed after 2.4 s. Change: a reader says when its source fails, upon which its askers turn to the next one at once; words are old after 1.5 s; a watch waits 1 s and its answer 0.6 s more; watches begin 0.3 s apart.

--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -350,6 +350,8 @@
   nonce: z.number().int(),
   /** Age of the newest word of the registry, in ms; absent before the first. */
   ageMs: z.number().min(0).optional(),
+  /** True where the sender's own source does not answer it at present. */
+  isFailing: z.boolean().optional(),
   /** True where the changes are all that the peer holds. */
   isWhole: z.boolean(),
   revision: versionSchema,
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -17,7 +17,10 @@
   readonly askIntervalMs: number;
   /** Longest wait for a peer's answer, in ms. Default: 300, far above a round trip between data centres. */
   readonly answerTimeoutMs: number;
-  /** Age from which a peer's word counts as old and the next source is tried, in ms. Default: 2,200. */
+  /**
+   * Age from which a peer's word counts as old and the next source is tried, in ms. Default: 1,500, a watch
+   * of the registry without news and some way.
+   */
   readonly oldAfterMs: number;
   /** True where the whole fleet starts for the first time, before callers come. Default: false. */
   readonly isFirstStart: boolean;
@@ -29,7 +32,7 @@
   firstNonce: 1,
   askIntervalMs: 700,
   answerTimeoutMs: 300,
-  oldAfterMs: 2_200,
+  oldAfterMs: 1_500,
   isFirstStart: false,
   marginMs: 600,
 } as const;
@@ -87,6 +90,8 @@
   #toldVersion = 0;
   #toldLapsed = '';
   #wasFresh = false;
+  /** True from the failure of a source until some word of the registry arrives. */
+  #isFailing = false;
 
   constructor(options: Partial<RegistryTaskOptions> & RequiredRegistryOptions) {
     this.#options = {...DEFAULT_REGISTRY_OPTIONS, ...options};
@@ -216,6 +221,7 @@
 
   #onSourceFailed(reason: string, nowMs: number): readonly CoreMessage[] {
     const failed = this.#sources.current;
+    this.#isFailing = true;
     const hasTriedAll = this.#sources.advance();
     this.#firstRetryAtMs = nowMs + retryFirstMs;
     const pauseMs = this.#sources.isReader ? readerPauseMs : followerPauseMs;
@@ -236,6 +242,7 @@
   }
 
   #onRead(message: RegistryRead, nowMs: number): readonly CoreMessage[] {
+    this.#isFailing = false;
     return this.#take(message, message.asOfMs, 'registry', nowMs);
   }
 
@@ -262,6 +269,7 @@
       type: 'registryAnswer',
       nonce: ask.nonce,
       ageMs: Number.isFinite(ageMs) ? Math.max(0, ageMs) : undefined,
+      isFailing: this.#isFailing ? true : undefined,
       isWhole,
       revision: this.#view.revision,
       documentVersion: this.#view.document?.version ?? 0,
@@ -287,6 +295,10 @@
     if (ageMs > this.#options.oldAfterMs) {
       return [...messages, ...this.#onSourceFailed('old', nowMs)];
     }
+    if (answer.isFailing === true) {
+      return [...messages, ...this.#onSourceFailed('fails itself', nowMs)];
+    }
+    this.#isFailing = false;
     return messages;
   }
 
--- a/packages/proxy/src/registry/registryWatchTask.ts
+++ b/packages/proxy/src/registry/registryWatchTask.ts
@@ -5,15 +5,20 @@
 export interface RegistryWatchTaskOptions {
   readonly source: RegistrySource;
   readonly timers: TimerService;
-  /** Time for which a watch waits for a change, in ms. Default: 1,500, a third of the least key withdrawal bound. */
+  /** Time for which a watch waits for a change, in ms. Default: 1,000, half of the usual time to apply a change. */
   readonly watchMs: number;
+  /**
+   * Least time between two watches, in ms, so that the news of many servers comes together. Default: 300, a
+   * small part of the time in which a change is to be in force.
+   */
+  readonly pauseMs: number;
   /** Wait after a failed read, in ms. Default: 400. */
   readonly retryMs: number;
   readonly tell: (event: HostEvent) => void;
   readonly count: (name: string) => void;
 }
 
-export const DEFAULT_REGISTRY_WATCH_OPTIONS = {watchMs: 1_500, retryMs: 400} as const;
+export const DEFAULT_REGISTRY_WATCH_OPTIONS = {watchMs: 1_000, pauseMs: 300, retryMs: 400} as const;
 
 type RequiredRegistryWatchOptions = Omit<
   RegistryWatchTaskOptions,
@@ -42,22 +47,32 @@
 
   async #run(): Promise<void> {
     this.#isRunning = true;
-    const {tell, count, timers, retryMs} = this.#options;
+    const {tell, count, timers, retryMs, pauseMs} = this.#options;
     while (this.#isWanted) {
+      const askedAtMs = timers.nowMs();
       try {
         await (this.#revision === 0 ? this.#readAll() : this.#watch());
+        await this.#until(askedAtMs + pauseMs);
       } catch (error) {
         count('registry.failed');
         const reason = error instanceof Error ? error.message : String(error);
         tell({type: 'registryUnreadable', reason});
-        await new Promise<void>((resolve) => {
-          timers.at(timers.nowMs() + retryMs, resolve);
-        });
+        await this.#until(timers.nowMs() + retryMs);
       }
     }
     this.#isRunning = false;
   }
 
+  async #until(momentMs: number): Promise<void> {
+    const {timers} = this.#options;
+    if (momentMs <= timers.nowMs()) {
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      timers.at(momentMs, resolve);
+    });
+  }
+
   async #readAll(): Promise<void> {
     const {source, timers, count} = this.#options;
     const askedAtMs = timers.nowMs();
