Take no server from a home that the host itself knows to drain

Change: a host gives such a server back and asks again without it. Tests: the host that asks; the end told to both homes of an attempt.

--- a/packages/core/src/placement/placementEntryTask.ts
+++ b/packages/core/src/placement/placementEntryTask.ts
@@ -85,6 +85,7 @@
   readonly #grants = new Map<string, Grant>();
   readonly #lastEnds = new Map<string, LastEnd>();
   #servers: readonly DiscoveredServer[] = [];
+  /** Origins of the servers in service, as far as this host knows. */
   #originById = new Map<string, string>();
   #connectedIds: readonly string[] = [];
   #nextAskId: number;
@@ -126,7 +127,7 @@
     this.#servers = servers.filter(
       ({state, dataCentre}) => state === 'in-service' && !outOfService.includes(dataCentre),
     );
-    this.#originById = new Map(servers.map(({id, origin}) => [id, origin]));
+    this.#originById = new Map(this.#servers.map(({id, origin}) => [id, origin]));
     return [];
   }
 
@@ -202,7 +203,7 @@
     const {serverId = '', secondAfterMs, needsNewConnection} = answer;
     const origin = this.#originById.get(serverId);
     if (origin === undefined) {
-      // The home heard of the server first; ask again without it.
+      // One of the two has newer word of the server; ask again without it.
       const {wanted} = ask;
       const excludedServerIds = [...wanted.excludedServerIds, serverId];
       return [
