--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -110,12 +110,13 @@
   #connectionsTo(origin: string): ServerConnections {
     let connections = this.#connections.get(origin);
     if (connections === undefined) {
-      const {idlePerServer, connectTimeoutMs, idleMs} = this.#options;
+      const {idlePerServer, connectTimeoutMs, idleMs, timers} = this.#options;
       connections = new ServerConnections({
         origin,
         connectTimeoutMs,
         idleMs,
         maxIdle: idlePerServer,
+        timers,
       });
       this.#connections.set(origin, connections);
     }
--- a/packages/proxy/src/backends/serverConnections.ts
+++ b/packages/proxy/src/backends/serverConnections.ts
@@ -1,4 +1,9 @@
-import {Client, buildConnector} from 'undici';
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
+import {Client} from 'undici';
+import type {buildConnector} from 'undici';
+import {ConnectTimeoutError} from '../errors/hostErrors.ts';
+import type {TimerService} from '../timer/timerService.ts';
 
 export interface ServerConnectionsOptions {
   readonly origin: string;
@@ -8,8 +13,23 @@
   readonly idleMs: number;
   /** Idle connections kept. */
   readonly maxIdle: number;
+  readonly timers: TimerService;
+  /** Begins to open a connection. Default: TCP without delay of small packets. */
+  readonly dial: (host: string, port: number) => Socket;
 }
 
+export const DEFAULT_SERVER_CONNECTIONS_OPTIONS = {
+  dial: (host: string, port: number): Socket =>
+    connect({host, port, noDelay: true, keepAlive: true}),
+} as const;
+
+type RequiredServerConnectionsOptions = Omit<
+  ServerConnectionsOptions,
+  keyof typeof DEFAULT_SERVER_CONNECTIONS_OPTIONS
+>;
+
+const defaultPort = 80;
+
 /** One connection to a backend server, used for one request at a time. */
 export interface ServerConnection {
   readonly client: Client;
@@ -27,8 +47,8 @@
   readonly #idle: ServerConnection[] = [];
   readonly #all = new Set<ServerConnection>();
 
-  constructor(options: ServerConnectionsOptions) {
-    this.#options = options;
+  constructor(options: Partial<ServerConnectionsOptions> & RequiredServerConnectionsOptions) {
+    this.#options = {...DEFAULT_SERVER_CONNECTIONS_OPTIONS, ...options};
   }
 
   get hasIdle(): boolean {
@@ -71,21 +91,12 @@
   }
 
   #create(): ServerConnection {
-    const {origin, connectTimeoutMs, idleMs} = this.#options;
-    const connector = buildConnector({timeout: connectTimeoutMs});
+    const {origin, idleMs} = this.#options;
     const client = new Client(origin, {
       pipelining: 1,
-      connect: (options, callback) => {
-        connector(options, (...[error, socket]) => {
-          if (error !== null) {
-            callback(error, null);
-            return;
-          }
-          socket.on('error', (failure: NodeJS.ErrnoException) => {
-            // The client library ends connections by errors of its own; those of the system name a call.
-            connection.wasReset ||= failure.syscall !== undefined;
-          });
-          callback(null, socket);
+      connect: (target, callback) => {
+        this.#open(target, callback, () => {
+          connection.wasReset = true;
         });
       },
       keepAliveTimeout: idleMs,
@@ -111,6 +122,39 @@
     return connection;
   }
 
+  /** Opens a connection in time; the client library's own timer for that may fire most of a second late. */
+  #open(
+    {hostname, port}: buildConnector.Options,
+    callback: buildConnector.Callback,
+    onReset: () => void,
+  ): void {
+    const {dial, timers, connectTimeoutMs} = this.#options;
+    const socket = dial(hostname, port === '' ? defaultPort : Number(port));
+    let isOpen = false;
+    const timeout = timers.at(timers.nowMs() + connectTimeoutMs, () => {
+      // A host that was slow may find the timer and the open connection in the same turn of its loop.
+      setImmediate(() => {
+        if (!isOpen) {
+          socket.destroy(new ConnectTimeoutError(`no connection within ${connectTimeoutMs} ms`));
+        }
+      });
+    });
+    socket.once('connect', () => {
+      timeout.cancel();
+      isOpen = true;
+      callback(null, socket);
+    });
+    socket.on('error', (failure: NodeJS.ErrnoException) => {
+      timeout.cancel();
+      if (!isOpen) {
+        callback(failure, null);
+      } else if (failure.syscall !== undefined) {
+        // The client library ends connections by errors of its own; those of the system name a call.
+        onReset();
+      }
+    });
+  }
+
   #forget(connection: ServerConnection): void {
     this.#all.delete(connection);
     const index = this.#idle.indexOf(connection);
--- a/packages/proxy/src/errors/hostErrors.ts
+++ b/packages/proxy/src/errors/hostErrors.ts
@@ -14,3 +14,6 @@
 
 /** A server's answer broke off. */
 export const BrokenAnswerError = HostError.subclass('BrokenAnswerError');
+
+/** A backend server did not take a connection in time. */
+export const ConnectTimeoutError = HostError.subclass('ConnectTimeoutError');
