--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -11,11 +11,12 @@
 import type {PlacementCandidate, PlacementPolicy, PlacementSituation} from './placementPolicy.ts';
 import {PathDoubts} from './pathDoubts.ts';
 import {RepeatWindow} from './repeatWindow.ts';
+import {isHopeless, isRiskAccepted} from './riskAcceptance.ts';
+import {RouteTimes} from './routeTimes.ts';
 import {ServerTrust} from './serverTrust.ts';
 import type {RunningAttempt} from './serverTrust.ts';
 import {SurestServer} from './surestServer.ts';
 import {TrialServer} from './trialServer.ts';
-import {WorkTimes} from './workTimes.ts';
 
 /** What became of an ask. */
 export type Placement =
@@ -42,69 +43,23 @@
   readonly requestDigest: string;
 }
 
-/** Mean work time assumed before answers came, in ms. */
-const firstGuessMs = 250;
-interface AcceptedRisk {
-  readonly atFirst: number;
-  readonly atLast: number;
-}
-
-/**
- * Risk up to which work that may run once is started at once, and after most of the time for waiting is
- * over. Beyond that it is better refused, which the caller can act on, than lost.
- */
-const acceptedForOnce: AcceptedRisk = {atFirst: 0.2, atLast: 0.7};
-/** The same for work that may be repeated: a failure costs it time and the fleet a repeat. */
-const acceptedForRepeatable: AcceptedRisk = {atFirst: 0.5, atLast: 0.85};
-/** Work waits for a better server only where one is better by this factor and this much. */
-const worthWaitingFactor = 1.5;
-const worthWaitingRisk = 0.05;
-/** Risk above which work that may run once is refused at once if no server is better. */
-const hopelessRisk = 0.85;
-/** Time after which a hopeless server may be tried by any work, in ms, so that it is not forgotten. */
-const hopelessRestMs = 1_000;
 /** Wait told to a caller where no server can be trusted, in ms: half of the time in which doubt halves. */
 const hopelessRetryMs = 1_000;
-/** Part of the time for waiting after which the last risk is accepted. */
-const patienceShare = 0.6;
+/** Wait told to a caller where a backend has no server in service, in ms. */
+const noServerRetryMs = 1_000;
 /**
  * Starts a second on a server that is known to be warm, as a multiple of what it bears cold: a server
  * that turned cold unseen works at half speed, so that its slots hold the rate down.
  */
 const warmStartsFactor = 1.75;
-/** An attempt later than this share of the answers is joined by a second one. */
-const secondAfterShare = 0.92;
-/** The same for an attempt on a server that is not proven. */
-const secondAfterShareOnTrial = 0.8;
-/** Latest moment of a second attempt, as a share of the time in which the answer serves fully. */
-const latestSecondShare = 0.45;
-/** Earliest moment of a second attempt, as a share of that time: a pause of a host or link is no silence. */
-const earliestSecondShare = 0.15;
-/** Target assumed for a route that names none, in ms. */
-const fallbackTargetMs = 1_000;
-/** Risk from which an attempt counts as a trial. */
-const trialRisk = 0.05;
 /** Part of the allowed repeats above which nothing is sent to servers that are not proven. */
 const spareRepeatsBelow = 0.6;
-/** Timeout assumed for a route that is not known any more, in ms. */
-const fallbackTimeoutMs = 5_000;
 /** Time after its route's timeout at which an attempt that nobody ended is forgotten, in ms. */
 const lateEndMs = 500;
 /** Time for which a server that said it is another one gets nothing, in ms. */
 const misdirectedMs = 5_000;
 /** Risk below which the slots of a server count for the length of a wait. */
 const soundBelowRisk = 0.5;
-/** A free slot is a few ms away on average; so long waits any request for one, in ms. */
-const shortestWaitMs = 50;
-/**
- * Answers that took less than this share of the backend's mean work time prove nothing: a server that fails
- * its real work still answers what needs none, such as its probes.
- */
-const trivialShare = 1 / 6;
-/** An attempt that was cut is taken for a silent one where less than this share of the answers takes longer. */
-const lateBelowShare = 0.05;
-/** Work is not begun where less than this share of the answers would come in time. */
-const usefulShare = 0.75;
 
 export interface BackendHomeOptions {
   readonly backendId: string;
@@ -118,8 +73,7 @@
   readonly #trial: PlacementPolicy = new TrialServer();
   readonly #trusts = new Map<string, ServerTrust>();
   readonly #placed = new Map<string, PlacedAttempt>();
-  readonly #workTimes = new Map<string, WorkTimes>();
-  readonly #allWorkTimes = new WorkTimes(firstGuessMs);
+  readonly #times = new RouteTimes();
   readonly #outcomes = new OutcomeShare();
   readonly #repeats: RepeatWindow;
   readonly #crashes = new CrashSuspects();
@@ -130,8 +84,6 @@
   #coldUntilMs = new Map<string, number>();
   #lapsed: ReadonlySet<string> = new Set();
   #backend: Backend | undefined;
-  #targetByRoute = new Map<string, number>();
-  #timeoutByRoute = new Map<string, number>();
   #fleetShare = 1;
 
   constructor(options: BackendHomeOptions) {
@@ -151,10 +103,7 @@
 
   setDocument(document: FleetDocument): void {
     this.#backend = document.backends.find(({id}) => id === this.#options.backendId);
-    this.#targetByRoute = new Map(
-      document.routes.map(({id, targetLatencyMs, timeoutMs}) => [id, targetLatencyMs ?? timeoutMs]),
-    );
-    this.#timeoutByRoute = new Map(document.routes.map(({id, timeoutMs}) => [id, timeoutMs]));
+    this.#times.setDocument(document);
   }
 
   setServers({servers, lapsedServerIds, outOfService}: ServersKnown, nowMs: number): void {
@@ -186,7 +135,11 @@
   take(key: string, ask: PlaceAsk, asker: Asker, nowMs: number): Placement {
     if (ask.isRepeat) {
       if (this.#repeats.use(nowMs) >= 1) {
-        return {state: 'refused', kind: 'overloaded', retryAfterMs: this.#typicalWorkMs(ask)};
+        return {
+          state: 'refused',
+          kind: 'overloaded',
+          retryAfterMs: this.#times.typicalMs(ask.routeId),
+        };
       }
     } else {
       this.#repeats.noteRequest(nowMs);
@@ -195,7 +148,7 @@
       return {state: 'refused', kind: 'request-crashes-servers', retryAfterMs: 0};
     }
     if (this.#servers.length === 0) {
-      return {state: 'refused', kind: 'no-server', retryAfterMs: 1_000};
+      return {state: 'refused', kind: 'no-server', retryAfterMs: noServerRetryMs};
     }
     const granted = this.tryPlace(key, ask, asker, nowMs, nowMs);
     return granted ?? this.#wait(key, ask, asker, nowMs);
@@ -211,8 +164,8 @@
   ): Placement | undefined {
     const candidates = this.#candidates(ask, asker, nowMs);
     const situation = this.#situation(ask, nowMs);
-    const isTrialAllowed =
-      ask.isRepeatable && !ask.isRepeat && this.#typicalWorkMs(ask) >= this.#trivialBelowMs;
+    const isRealWork = !this.#times.isTrivial(this.#times.typicalMs(ask.routeId));
+    const isTrialAllowed = ask.isRepeatable && !ask.isRepeat && isRealWork;
     const tried = isTrialAllowed ? this.#trial.choose(candidates, situation) : undefined;
     if (tried !== undefined) {
       return this.#grant(key, ask, asker, tried, nowMs);
@@ -230,25 +183,21 @@
     arrivedAtMs: number,
     nowMs: number,
   ): boolean {
-    const best = this.#bestRisk(nowMs);
-    if (best > hopelessRisk) {
-      return nowMs - lastStartMs >= hopelessRestMs;
-    }
-    const patienceMs = Math.max(1, this.#inTargetForMs(ask) * patienceShare);
+    const {isRepeatable, routeId, leftMs, priority} = ask;
     // In a crowded line nobody waits for long: what is not begun now is refused.
-    const isLast = this.admission.isCrowded(ask.priority);
-    const passed = isLast ? 1 : Math.min(1, (nowMs - arrivedAtMs) / patienceMs);
-    const {atFirst, atLast} = ask.isRepeatable ? acceptedForRepeatable : acceptedForOnce;
-    const byWait = atFirst + (atLast - atFirst) * passed;
-    const byOthers = Math.min(hopelessRisk, best * worthWaitingFactor + worthWaitingRisk);
-    return risk <= Math.max(byWait, byOthers);
+    const waitedShare = this.admission.isCrowded(priority)
+      ? 1
+      : (nowMs - arrivedAtMs) / this.#times.inTargetForMs(routeId, leftMs);
+    const restedMs = nowMs - lastStartMs;
+    const bestRisk = this.#bestRisk(nowMs);
+    return isRiskAccepted({risk, restedMs, bestRisk, isRepeatable, waitedShare});
   }
 
   /** Least risk among the servers in service, with a free slot or without. */
   #bestRisk(nowMs: number): number {
     let best = 1;
     for (const {id} of this.#servers) {
-      best = Math.min(best, this.#trust(id).risk(nowMs, this.#shareAbove));
+      best = Math.min(best, this.#trust(id).risk(nowMs, this.#times.shareAbove));
     }
     return best;
   }
@@ -270,8 +219,7 @@
     this.#noteEnd(serverId, attempt, outcome, ranForMs, nowMs);
     this.#outcomes.note(outcome, nowMs);
     if (outcome === 'ok') {
-      this.#times(routeId).note(ranForMs);
-      this.#allWorkTimes.note(ranForMs);
+      this.#times.note(routeId, ranForMs);
       this.#crashes.clear(requestDigest);
     }
     if (outcome === 'lost') {
@@ -295,14 +243,14 @@
     } else if (outcome === 'unreachable' || outcome === 'timeout' || this.#isLate(attempt, nowMs)) {
       this.#paths.noteSilence(serverId, attempt, nowMs);
     }
-    if (outcome !== 'ok' || ranForMs >= this.#trivialBelowMs) {
-      this.#trust(serverId).end(attempt, outcome, nowMs, this.#shareAbove);
+    if (outcome !== 'ok' || !this.#times.isTrivial(ranForMs)) {
+      this.#trust(serverId).end(attempt, outcome, nowMs, this.#times.shareAbove);
     }
   }
 
   /** True where most answers come sooner than this attempt ran. */
   #isLate({routeId, startedAtMs}: RunningAttempt, nowMs: number): boolean {
-    return this.#shareAbove(routeId, nowMs - startedAtMs) < lateBelowShare;
+    return this.#times.isLate(routeId, nowMs - startedAtMs);
   }
 
   /** Takes what a host runs and saw, where this host has just become the home. */
@@ -323,8 +271,8 @@
   forgetLost(isAlive: (hostId: string) => boolean, nowMs: number): void {
     for (const [key, attempt] of this.#placed) {
       const {hostId, routeId, startedAtMs} = attempt;
-      const timeoutMs = this.#timeoutByRoute.get(routeId) ?? fallbackTimeoutMs;
-      if (!isAlive(hostId) || nowMs - startedAtMs > timeoutMs + lateEndMs) {
+      const overdueMs = this.#times.timeoutMs(routeId) + lateEndMs;
+      if (!isAlive(hostId) || nowMs - startedAtMs > overdueMs) {
         this.#placed.delete(key);
         this.#trusts.get(attempt.serverId)?.running.delete(key);
       }
@@ -358,38 +306,32 @@
       serverId,
       risk,
       provenAgoMs,
-      secondAfterMs: this.#secondAfterMs(routeId, risk),
+      secondAfterMs: this.#times.secondAfterMs(routeId, risk),
       needsNewConnection: !ask.isRepeatable && this.#paths.isInDoubt(hostId, serverId, nowMs),
     };
   }
 
   #wait(key: string, ask: PlaceAsk, asker: Asker, nowMs: number): Placement {
-    if (this.#bestRisk(nowMs) > hopelessRisk) {
+    if (isHopeless(this.#bestRisk(nowMs))) {
       return {state: 'refused', kind: 'no-server', retryAfterMs: hopelessRetryMs};
     }
-    const typicalMs = this.#typicalWorkMs(ask);
+    const {routeId, leftMs} = ask;
     const terms = {
       hostId: asker.hostId,
       ask,
-      inTargetForMs: this.#inTargetForMs(ask),
-      usefulForMs: ask.leftMs - this.#times(ask.routeId).quantileMs(usefulShare),
-      expectedPerMs: this.#soundSlots(nowMs) / typicalMs,
+      inTargetForMs: this.#times.inTargetForMs(routeId, leftMs),
+      usefulForMs: this.#times.usefulForMs(routeId, leftMs),
+      expectedPerMs: this.#soundSlots(nowMs) / this.#times.typicalMs(routeId),
     };
     const verdict = this.admission.admit(key, terms, nowMs);
     return verdict.state === 'refused' ? {...verdict, kind: 'overloaded'} : verdict;
   }
 
-  /** Time for which an ask may wait so that its answer usually comes within the target, in ms. */
-  #inTargetForMs(ask: PlaceAsk): number {
-    const targetMs = this.#targetByRoute.get(ask.routeId) ?? ask.leftMs;
-    return Math.max(shortestWaitMs, Math.min(ask.leftMs, targetMs) - this.#typicalWorkMs(ask));
-  }
-
   /** Slots of the servers that would rather answer than fail, at least one. */
   #soundSlots(nowMs: number): number {
     let slots = 0;
     for (const server of this.#servers) {
-      const risk = this.#trust(server.id).risk(nowMs, this.#shareAbove);
+      const risk = this.#trust(server.id).risk(nowMs, this.#times.shareAbove);
       slots += risk < soundBelowRisk ? server.slots : 0;
     }
     return Math.max(1, slots);
@@ -411,7 +353,7 @@
       }
       const candidate: PlacementCandidate = {
         serverId: server.id,
-        risk: trust.risk(nowMs, this.#shareAbove),
+        risk: trust.risk(nowMs, this.#times.shareAbove),
         running: trust.running.size,
         recentStarts: trust.recentStarts(nowMs),
         lastStartMs: trust.lastStartMs,
@@ -446,36 +388,6 @@
     };
   }
 
-  #secondAfterMs(routeId: string, risk: number): number {
-    const times = this.#times(routeId);
-    const share = risk > trialRisk ? secondAfterShareOnTrial : secondAfterShare;
-    const targetMs = this.#targetByRoute.get(routeId) ?? fallbackTargetMs;
-    const latestMs = Math.max(targetMs * latestSecondShare, times.quantileMs(0.5));
-    const earliestMs = targetMs * earliestSecondShare;
-    return Math.min(Math.max(times.quantileMs(share), earliestMs), latestMs);
-  }
-
-  /** Work time below which an answer says nothing of the server, in ms. */
-  get #trivialBelowMs(): number {
-    return this.#allWorkTimes.meanMs * trivialShare;
-  }
-
-  #typicalWorkMs({routeId}: PlaceAsk): number {
-    return this.#times(routeId).quantileMs(0.5);
-  }
-
-  #times(routeId: string): WorkTimes {
-    let times = this.#workTimes.get(routeId);
-    if (times === undefined) {
-      times = new WorkTimes(firstGuessMs);
-      this.#workTimes.set(routeId, times);
-    }
-    return times;
-  }
-
-  readonly #shareAbove = (routeId: string, ageMs: number): number =>
-    this.#times(routeId).shareAbove(ageMs);
-
   #trust(serverId: string): ServerTrust {
     let trust = this.#trusts.get(serverId);
     if (trust === undefined) {
