Log what the home of a customer counted when it refuses

Cause: a refusal with 429 could not be explained from the logs: the host that counts wrote nothing, and did not know the request's id. Change: the ask carries the id; each refusal is a line with rate, burst, what was admitted in the window and the part handed out; explain-request tells it in words and rounds waits. Tests: each refusal has its line; the story of a refused request.

--- a/packages/bench/src/__tests__/grayRegistry.test.ts
+++ b/packages/bench/src/__tests__/grayRegistry.test.ts
@@ -219,6 +219,22 @@
     }
   });
 
+  it('explains each refusal by what the home counted', () => {
+    const fleet = grayFleet(hash, {seed: 25, errorShare: 0});
+    fleet.queue.runUntil(settleMs);
+    grayLoad(fleet, {forMs: 5_000, perSecond: 150, mix: {lookup: 1}, customers: {large: 1}});
+    fleet.queue.runUntil(settleMs + 8_000);
+    const limited = fleet.outcomes.filter(({refusal}) => refusal === 'rate-limited');
+    const explained = fleet.logs.filter(({event}) => event === 'quota.refused');
+    expect(limited.length).to.be.above(100);
+    expect(explained.length).to.equal(limited.length);
+    for (const {fields} of explained) {
+      expect(fields).to.include({customerId: 'large', ratePerSecond: 60, windowMs: 5_000});
+      expect(fields.requestName).to.match(/^\d+$/);
+      expect(fields.admitted).to.be.at.least(360);
+    }
+  });
+
   it('is given whole while the fleet is whole', () => {
     const fleet = grayFleet(hash, {seed: 10, errorShare: 0});
     fleet.queue.runUntil(settleMs);
--- a/packages/cli/src/__tests__/requestStory.test.ts
+++ b/packages/cli/src/__tests__/requestStory.test.ts
@@ -30,6 +30,15 @@
     });
     const story = requestStory('r1', [entry, home]);
     expect(story).to.have.length(3);
+    const refused = line('2026-01-01T00:00:00.001Z', 'home', 'quota.refused', {
+      customerId: 'cafe',
+      admitted: 30,
+      windowMs: 5_000,
+      ratePerSecond: 5,
+      burstRequests: 5,
+      fleetShare: 1,
+    });
+    expect(requestStory('r1', [refused])[0]).to.contain('30 requests in 5000 ms at 5/s');
     expect(story[0]).to.contain('home grants server s-1');
     expect(story[0]).to.contain('risk 2.0 %');
     expect(story[2]).to.contain('refused as answer-timeout (unknown)');
--- a/packages/cli/src/requestStory.ts
+++ b/packages/cli/src/requestStory.ts
@@ -19,6 +19,11 @@
   return typeof value === 'number' ? `${(value * 100).toFixed(1)} %` : '?';
 }
 
+function rounded(line: LogLine, name: string): string {
+  const value = line[name];
+  return typeof value === 'number' ? String(Math.round(value)) : '?';
+}
+
 function provenAgo(line: LogLine): string {
   const agoMs = line.provenAgoMs;
   return typeof agoMs === 'number' ? `${Math.round(agoMs)} ms ago` : 'never';
@@ -30,12 +35,12 @@
     `refused on arrival as ${field(line, 'kind')}; version ${field(line, 'version')} in force, ` +
     `view fresh for another ${field(line, 'freshForMs')} ms`,
   'place.granted': (line) =>
-    `home grants server ${field(line, 'serverId')} after a wait of ${field(line, 'waitedMs')} ms; ` +
+    `home grants server ${field(line, 'serverId')} after a wait of ${rounded(line, 'waitedMs')} ms; ` +
     `risk ${percent(line, 'risk')}, last proved well ${provenAgo(line)}, ` +
     `${field(line, 'waiting')} others wait`,
   'place.waiting': (line) =>
     `home lets it wait; ${field(line, 'waiting')} wait for ${field(line, 'servers')} servers, ` +
-    `expected wait ${field(line, 'expectedWaitMs')} ms`,
+    `expected wait ${rounded(line, 'expectedWaitMs')} ms`,
   'place.refused': (line) =>
     `home refuses a server: ${field(line, 'kind')}; ${field(line, 'waiting')} wait for ` +
     `${field(line, 'servers')} servers`,
@@ -43,6 +48,10 @@
     `no home answers; this host chooses server ${field(line, 'serverId')} by itself`,
   'place.homeSilent': (line) =>
     `home ${field(line, 'homeId')} did not answer for ${field(line, 'silentMs')} ms`,
+  'quota.refused': (line) =>
+    `home of customer ${field(line, 'customerId')} refuses: ${field(line, 'admitted')} requests in ` +
+    `${field(line, 'windowMs')} ms at ${field(line, 'ratePerSecond')}/s and a burst of ` +
+    `${field(line, 'burstRequests')}; part of the rate handed out ${percent(line, 'fleetShare')}`,
   'quota.homeSilent': (line) => `home ${field(line, 'homeId')} of the customer did not answer`,
   'attempt.started': (line) =>
     `attempt ${field(line, 'attempt')} starts on ${field(line, 'serverId')}, ` +
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -449,6 +449,8 @@
   type: z.literal('quotaAsk'),
   askId: z.number().int(),
   customerId: z.string(),
+  /** Name of the request towards callers and servers, for the logs. */
+  requestName: z.string(),
 });
 
 export const quotaAnswerSchema = z.object({
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -312,6 +312,8 @@
   type: z.literal('permitForeseen'),
   requestId: requestIdSchema,
   customerId: z.string(),
+  /** Name of the request towards callers and servers, for the logs. */
+  requestName: z.string().optional(),
 });
 
 /** A connection to a server was opened or is open no more; one that is open is cheaper to use. */
--- a/packages/core/src/quota/customerWindow.ts
+++ b/packages/core/src/quota/customerWindow.ts
@@ -44,6 +44,11 @@
     return nowMs - this.#toldAtMs < this.#windowMs;
   }
 
+  /** Requests that count at present. */
+  get size(): number {
+    return this.#admittedAtMs.length;
+  }
+
   /** Admits one request; gives the time until the next has room where there is none, in ms. */
   take(customer: Customer, {fleetShare, slack}: CustomerShare, nowMs: number): number {
     const {ratePerSecond, burstRequests} = customer;
--- a/packages/core/src/quota/quotaEntryTask.ts
+++ b/packages/core/src/quota/quotaEntryTask.ts
@@ -62,6 +62,8 @@
   readonly #askByRequest = new Map<number, number>();
   readonly #verdicts = new Map<number, Verdict>();
   readonly #wanted = new Set<number>();
+  /** Names of the requests that are asked for, for the logs. */
+  readonly #names = new Map<number, string>();
   readonly #admittedByCustomer = new Map<string, Admitted[]>();
   readonly #loneWindows = new Map<string, CustomerWindow>();
   #customers = new Map<string, Customer>();
@@ -81,6 +83,7 @@
   receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
     switch (message.type) {
       case 'permitForeseen':
+        this.#names.set(message.requestId, message.requestName ?? '');
         return this.#ask(message.requestId, message.customerId, nowMs);
       case 'permitWanted':
         return this.#onWanted(message.requestId, message.customerId, nowMs);
@@ -129,7 +132,8 @@
     this.#nextAskId += 1;
     this.#asks.set(askId, {requestId, customerId, homeId, askedAtMs: nowMs});
     this.#askByRequest.set(requestId, askId);
-    const message: PeerMessage = {type: 'quotaAsk', askId, customerId};
+    const requestName = this.#names.get(requestId) ?? '';
+    const message: PeerMessage = {type: 'quotaAsk', askId, customerId, requestName};
     return [
       ...this.#greet(customerId, homeId, nowMs),
       {type: 'sendToPeer', toHostId: homeId, message},
@@ -188,6 +192,7 @@
   #forget(requestId: number): void {
     this.#verdicts.delete(requestId);
     this.#wanted.delete(requestId);
+    this.#names.delete(requestId);
     const askId = this.#askByRequest.get(requestId);
     if (askId !== undefined) {
       this.#askByRequest.delete(requestId);
--- a/packages/core/src/quota/quotaHomeTask.ts
+++ b/packages/core/src/quota/quotaHomeTask.ts
@@ -85,18 +85,35 @@
     if (message.type !== 'quotaAsk') {
       return [];
     }
-    const {askId, customerId} = message;
+    const {askId, customerId, requestName} = message;
     const customer = this.#customers.get(customerId);
     if (customer === undefined) {
       return [];
     }
     const window = this.#window(customerId);
-    const retryAfterMs = window.take(customer, this.#shareFor(customerId, window, nowMs), nowMs);
+    const share = this.#shareFor(customerId, window, nowMs);
+    const retryAfterMs = window.take(customer, share, nowMs);
     const isGranted = retryAfterMs === 0;
     const answer: PeerMessage = isGranted
       ? {type: 'quotaAnswer', askId, isGranted}
       : {type: 'quotaAnswer', askId, isGranted, retryAfterMs};
-    return [{type: 'sendToPeer', toHostId: fromHostId, message: answer}];
+    const sent: CoreMessage = {type: 'sendToPeer', toHostId: fromHostId, message: answer};
+    if (isGranted) {
+      return [sent];
+    }
+    const fields = {
+      requestName,
+      customerId,
+      hostId: fromHostId,
+      ratePerSecond: customer.ratePerSecond,
+      burstRequests: customer.burstRequests,
+      admitted: window.size,
+      windowMs: this.#options.bounds.rateWindowMs,
+      ...share,
+      isInherited: window.isInherited(nowMs),
+      retryAfterMs: Math.round(retryAfterMs),
+    };
+    return [sent, {type: 'log', level: 'info', event: 'quota.refused', fields}];
   }
 
   #window(customerId: string): CustomerWindow {
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -237,12 +237,12 @@
   }
 
   #begin(request: RequestState): readonly CoreMessage[] {
-    const {requestId, customerId} = request;
+    const {requestId, customerId, requestName} = request;
     request.phase = 'server';
     const server = this.#wantServer(request);
     return customerId === undefined
       ? [server]
-      : [{type: 'permitForeseen', requestId, customerId}, server];
+      : [{type: 'permitForeseen', requestId, customerId, requestName}, server];
   }
 
   #wantServer(request: RequestState): CoreMessage {
