--- a/packages/bench/src/gray/grayDays.ts
+++ b/packages/bench/src/gray/grayDays.ts
@@ -177,3 +177,8 @@
     failedShare: share(failed),
   };
 }
+
+/** What became of the requests of one route. */
+export function summariseRoute(fleet: GrayFleet, routeId: string): GraySummary {
+  return summarise(fleet.outcomes.filter((outcome) => outcome.routeId === routeId));
+}
