--- a/packages/core/src/placement/lineAdmission.ts
+++ b/packages/core/src/placement/lineAdmission.ts
@@ -27,6 +27,7 @@
   readonly retryAfterMs: number;
 }
 
+/** Shortest wait told to a caller, in ms: as long as requests of usual length take to free a slot or two. */
 const shortestRetryMs = 50;
 /**
  * Part of the wait that its target allows after which a request leaves a crowded line: whoever was not
@@ -44,7 +45,7 @@
   waiting: number;
   /** Longest time in which the rank's requests may be served before it is crowded, in ms. */
   allowedMs: number;
-  /** Requests that the sound servers are expected to begin in a ms. */
+  /** As in the newest terms, until the line was measured. */
   expectedPerMs: number;
 }
 
--- a/packages/core/src/placement/lineThroughput.ts
+++ b/packages/core/src/placement/lineThroughput.ts
@@ -21,10 +21,10 @@
     this.#grants += this.#isWaiting ? 1 : 0;
   }
 
-  /** Requests served in a ms; `guess` stands for them before somebody waited for long. */
-  perMs(guess: number, nowMs: number): number {
+  /** Requests served in a ms; `guessPerMs` stands for them before somebody waited for long. */
+  perMs(guessPerMs: number, nowMs: number): number {
     this.#advance(nowMs);
-    return (this.#grants + guess * guessMs) / (this.#waitedMs + guessMs);
+    return (this.#grants + guessPerMs * guessMs) / (this.#waitedMs + guessMs);
   }
 
   #advance(nowMs: number): void {
