Forget paths and misdirected servers that are gone; types of a placement in a file of their own

Cause: reading the diff: what was seen of servers was kept for ever, and servers come under new ids with each start. Change: both tables keep servers that are known, or whose time is not over; Placement and Asker stand apart from BackendHome.

--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -1,5 +1,4 @@
 import type {Backend, DiscoveredServer, FleetDocument} from '@godwitspring/document';
-import type {ErrorKind} from '../errors/errorKinds.ts';
 import type {FleetBounds} from '../fleet/fleetBounds.ts';
 import type {ServersKnown} from '../messages/hostMessages.ts';
 import type {PlaceAsk, PlaceHello} from '../messages/peerMessages.ts';
@@ -8,6 +7,7 @@
 import {LineAdmission} from './lineAdmission.ts';
 import type {UselessAsk} from './lineAdmission.ts';
 import {OutcomeShare} from './outcomeShare.ts';
+import type {Asker, Placement} from './placement.ts';
 import type {PlacementCandidate, PlacementPolicy, PlacementSituation} from './placementPolicy.ts';
 import {PathDoubts} from './pathDoubts.ts';
 import {RepeatWindow} from './repeatWindow.ts';
@@ -18,26 +18,6 @@
 import {SurestServer} from './surestServer.ts';
 import {TrialServer} from './trialServer.ts';
 
-/** What became of an ask. */
-export type Placement =
-  | {
-      readonly state: 'granted';
-      readonly serverId: string;
-      readonly risk: number;
-      readonly secondAfterMs: number;
-      readonly provenAgoMs: number;
-      /** True where the way of the host to the server is in doubt. */
-      readonly needsNewConnection: boolean;
-    }
-  | {readonly state: 'waiting'; readonly expectedWaitMs: number}
-  | {readonly state: 'refused'; readonly kind: ErrorKind; readonly retryAfterMs: number};
-
-/** An ask and the host that sent it. */
-export interface Asker {
-  readonly hostId: string;
-  readonly dataCentre: string;
-}
-
 interface PlacedAttempt extends RunningAttempt {
   readonly serverId: string;
   readonly requestDigest: string;
@@ -119,6 +99,12 @@
         this.#trusts.delete(serverId);
       }
     }
+    for (const [serverId, untilMs] of this.#misdirectedUntilMs) {
+      if (untilMs <= nowMs) {
+        this.#misdirectedUntilMs.delete(serverId);
+      }
+    }
+    this.#paths.keepOnly(known);
     this.#coldUntilMs = new Map(own.map(({id, coldForMs}) => [id, nowMs + coldForMs]));
   }
 
--- a/packages/core/src/placement/pathDoubts.ts
+++ b/packages/core/src/placement/pathDoubts.ts
@@ -48,6 +48,17 @@
     this.#judge(serverId, nowMs);
   }
 
+  /** Forgets what was seen of servers that are gone. */
+  keepOnly(serverIds: ReadonlySet<string>): void {
+    for (const seen of [this.#answers, this.#silences]) {
+      for (const serverId of seen.keys()) {
+        if (!serverIds.has(serverId)) {
+          seen.delete(serverId);
+        }
+      }
+    }
+  }
+
   /** True where work that a host sends to a server may be lost on the way. */
   isInDoubt(hostId: string, serverId: string, nowMs: number): boolean {
     const doubted = this.#doubted.get(hostId);
--- a/packages/core/src/placement/placementHomeTask.ts
+++ b/packages/core/src/placement/placementHomeTask.ts
@@ -6,7 +6,7 @@
 import type {RosterChanged, ServersKnown} from '../messages/hostMessages.ts';
 import type {PeerMessage, PlaceAnswer, PlaceAsk, PlaceEnded} from '../messages/peerMessages.ts';
 import {BackendHome} from './backendHome.ts';
-import type {Asker, Placement} from './backendHome.ts';
+import type {Asker, Placement} from './placement.ts';
 
 export interface PlacementHomeTaskOptions {
   readonly selfId: string;
