A home that has just restarted hands out half of each rate for one window

Cause: where all hosts lose power at once, nothing tells the next homes what customers were granted before: in virtual time a customer that used its whole rate got 565 requests in 5 s of 450 allowed. Change: within a window after the start of its process, but for the first start of the fleet, a home hands out half of the rate and no slack.

--- a/packages/bench/src/__tests__/grayRegistry.test.ts
+++ b/packages/bench/src/__tests__/grayRegistry.test.ts
@@ -219,6 +219,26 @@
     }
   });
 
+  it('holds when all hosts lose power at once and come back', () => {
+    for (const seed of seeds) {
+      const fleet = grayFleet(hash, {seed, errorShare: 0});
+      fleet.queue.runUntil(settleMs);
+      grayLoad(fleet, {forMs: 14_000, perSecond: 200, mix: {payment: 1}, customers: {large: 1}});
+      fleet.queue.runUntil(settleMs + 6_500);
+      const count = fleet.hosts.size;
+      for (const hostId of fleet.hosts.keys()) {
+        fleet.crashHost(hostId);
+      }
+      fleet.queue.runUntil(settleMs + 7_500);
+      for (let number = 1; number <= count; number += 1) {
+        fleet.startHost(number);
+      }
+      fleet.queue.runUntil(settleMs + 17_000);
+      const startsMs = [...fleet.startsMs.values()].flat();
+      expect(mostInWindow(startsMs), `seed ${seed}`).to.be.at.most(mostRun);
+    }
+  });
+
   it('explains each refusal by what the home counted', () => {
     const fleet = grayFleet(hash, {seed: 25, errorShare: 0});
     fleet.queue.runUntil(settleMs);
--- a/packages/core/src/host/selfFoundCore.ts
+++ b/packages/core/src/host/selfFoundCore.ts
@@ -36,7 +36,7 @@
     new RosterTask({selfId, dataCentre, bornMs, seedIds, random}),
     new RegistryTask({selfId, dataCentre, hash, bounds, firstNonce, isFirstStart}),
     new PlacementHomeTask({selfId, bounds}),
-    new QuotaHomeTask({selfId, dataCentre, hash, bounds}),
+    new QuotaHomeTask({selfId, dataCentre, hash, bounds, isFirstStart}),
     new QuotaEntryTask({hash, bounds, firstNonce}),
     new PlacementEntryTask({selfId, hash, random, firstNonce}),
     new RequestTask({
--- a/packages/core/src/quota/quotaHomeTask.ts
+++ b/packages/core/src/quota/quotaHomeTask.ts
@@ -16,8 +16,14 @@
   readonly dataCentre: string;
   readonly hash: HashFunction;
   readonly bounds: FleetBounds;
+  /** True where the whole fleet starts for the first time, so that nothing was admitted before. Default: false. */
+  readonly isFirstStart: boolean;
 }
 
+export const DEFAULT_QUOTA_HOME_OPTIONS = {isFirstStart: false} as const;
+
+type RequiredQuotaHomeOptions = Omit<QuotaHomeTaskOptions, keyof typeof DEFAULT_QUOTA_HOME_OPTIONS>;
+
 /** Part of a customer's rate that a stand-in hands out: with a home of one data centre in three it stays below the overshoot. */
 const standInShare = 0.75;
 /** The same for a home within a window after it took over: half of the hosts may be gone without a word. */
@@ -25,6 +31,11 @@
 /** Part of the slack in a customer's rate that a home uses while it hears the whole fleet. */
 const usedSlack = 0.9;
 
+/**
+ * The same within a window after the start of this process: the hosts may all have lost power together with what
+ * they counted. With a customer that used its whole rate until then this stays below the overshoot.
+ */
+const restartedShare = 0.5;
 /** Most requests for which one that is told may stand, where most of the fleet died with the former home. */
 const maxWeight = 3;
 
@@ -38,16 +49,19 @@
   readonly #windows = new Map<string, CustomerWindow>();
   #customers = new Map<string, Customer>();
   #fleetShare = 1;
+  /** Moment of the first message to this task, in ms. */
+  #startedAtMs: number | undefined;
   /** Hosts known for each host that lives; what the others were granted lately is not told. */
   #knownPerLive = 1;
 
-  constructor(options: QuotaHomeTaskOptions) {
-    this.#options = options;
+  constructor(options: Partial<QuotaHomeTaskOptions> & RequiredQuotaHomeOptions) {
+    this.#options = {...DEFAULT_QUOTA_HOME_OPTIONS, ...options};
     this.#finder = new HomeFinder(options.hash);
     this.#heard = new HeardPlaces(options.dataCentre);
   }
 
   receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
+    this.#startedAtMs ??= nowMs;
     switch (message.type) {
       case 'peerMessageReceived':
         return this.#onPeer(message.fromHostId, message.message, nowMs);
@@ -138,6 +152,10 @@
     if (!isFirst) {
       return {fleetShare: heard * standInShare, slack: 0};
     }
+    const ageMs = nowMs - (this.#startedAtMs ?? nowMs);
+    if (!this.#options.isFirstStart && ageMs < bounds.rateWindowMs) {
+      return {fleetShare: heard * restartedShare, slack: 0};
+    }
     if (window.isInherited(nowMs)) {
       return {fleetShare: heard * inheritedShare, slack: 0};
     }
