Registry: one reader for the fleet, a relay in each data centre

Change: the fleet has one reader with a substitute, the first host of each data centre relays; a new process queries its peers until they have data, a read waits until the roster has settled; while peers report that the registry fails them about four followers of the fleet try it in each round.

--- a/packages/bench/src/__tests__/registryAndRateLimits.test.ts
+++ b/packages/bench/src/__tests__/registryAndRateLimits.test.ts
@@ -12,6 +12,8 @@
 
 /** Time from the start of the fleet until every host knows the others and the registry, in ms. */
 const startupMs = 8_000;
+/** Part of the key withdrawal bound that hosts reserve for requests in transit, in ms. */
+const transitMarginMs = 600;
 let hash: HashFunction;
 
 /** Version of the configuration document in force on each running host. */
@@ -21,10 +23,20 @@
     .map((host) => Number(host.status().registry?.version));
 }
 
-/** Number of hosts that are registry readers. */
-function countReaders(fleet: GrayFailureFleet): number {
-  return [...fleet.hosts.values()].filter((host) => host.status().registry?.isReader === true)
-    .length;
+/** Starts a process at every host of a fleet whose processes all ended. */
+function restartAll(fleet: GrayFailureFleet): void {
+  const count = fleet.hosts.size;
+  for (let number = 1; number <= count; number += 1) {
+    fleet.startHost(number);
+  }
+}
+
+/** Hosts that may not serve customers, as their registry data is too old. */
+function staleHostIds(fleet: GrayFailureFleet): string[] {
+  const limitMs = DEFAULT_FLEET_BOUNDS.keyWithdrawalMs - transitMarginMs;
+  return [...fleet.hosts.values()]
+    .filter((host) => !(Number(host.status().registry?.ageMs) <= limitMs))
+    .map(({id}) => id);
 }
 
 describe('registry distribution in a fleet whose hosts discover each other', () => {
@@ -41,10 +53,58 @@
     }
   });
 
-  it('lets at most six hosts read the registry', () => {
+  it('reads the registry once for the whole fleet, which only its reader watches', () => {
     const fleet = createGrayFailureFleet(hash);
     fleet.queue.runUntil(startupMs);
-    expect(countReaders(fleet)).to.be.at.most(6);
+    expect(fleet.registryReads).to.have.length(1);
+    const watching = [...fleet.hosts.values()].filter(
+      (host) => host.status().registry?.source === host.id,
+    );
+    expect(watching).to.have.length(1);
+  });
+
+  it('reads the registry a few times where all hosts restart at once, and is fresh within two seconds', () => {
+    const fleet = createGrayFailureFleet(hash, {hosts: 48});
+    fleet.queue.runUntil(startupMs);
+    for (const hostId of fleet.hosts.keys()) {
+      fleet.crashHost(hostId);
+    }
+    fleet.queue.runUntil(startupMs + 1_000);
+    const readsBefore = fleet.registryReads.length;
+    restartAll(fleet);
+    fleet.queue.runUntil(startupMs + 3_000);
+    expect(fleet.registryReads.length - readsBefore).to.be.at.most(4);
+    expect(staleHostIds(fleet)).to.deep.equal([]);
+  });
+
+  it('reads the registry only on some hosts while it is down, and on all hosts is fresh after it', () => {
+    const fleet = createGrayFailureFleet(hash, {hosts: 48});
+    fleet.queue.runUntil(startupMs);
+    const readsBefore = fleet.registryReads.length;
+    fleet.isRegistryUp = false;
+    fleet.queue.runUntil(startupMs + 5_000);
+    const readsPerSecond = (fleet.registryReads.length - readsBefore) / 5;
+    // A read by every host in each round of followers would be 32 a second.
+    expect(readsPerSecond).to.be.below(16);
+    fleet.isRegistryUp = true;
+    fleet.queue.runUntil(startupMs + 8_000);
+    expect(staleHostIds(fleet)).to.deep.equal([]);
+  });
+
+  it('keeps every host fresh while the registry turns away a third of the hosts, its reader among them', () => {
+    for (const seed of [1, 2, 3]) {
+      const fleet = createGrayFailureFleet(hash, {hosts: 48, seed});
+      fleet.queue.runUntil(startupMs);
+      for (const [index, host] of [...fleet.hosts.values()].entries()) {
+        if (index % 3 === seed % 3 || host.status().registry?.role === 'reader') {
+          fleet.refusedByRegistry.add(host.id);
+        }
+      }
+      for (let afterMs = 500; afterMs <= 9_000; afterMs += 500) {
+        fleet.queue.runUntil(startupMs + afterMs);
+        expect(staleHostIds(fleet), `seed ${seed}, after ${afterMs} ms`).to.deep.equal([]);
+      }
+    }
   });
 
   it('puts a new version in force on every host within one second', () => {
--- a/packages/bench/src/gray-failure/grayFailureFleet.ts
+++ b/packages/bench/src/gray-failure/grayFailureFleet.ts
@@ -88,6 +88,8 @@
   readonly statuses: Map<number, number>;
 }
 
+/** Length of a registry watch without changes, in ms; the default of the hosts. */
+const registryWatchMs = 1_000;
 const slotsPerServer = 2;
 const maxWaiting = 8;
 /** Time that the caller allows for a request, in ms. */
@@ -108,6 +110,8 @@
   readonly logs: {atMs: number; hostId: string; event: string; fields: Record<string, unknown>}[] =
     [];
   readonly network: SimulatedNetwork;
+  /** Reads of the whole registry, in the order of their start. */
+  readonly registryReads: {readonly hostId: string; readonly atMs: number}[] = [];
   /** Times at which attempts reached each server, in ms, by server. */
   readonly attemptTimesMs = new Map<string, number[]>();
   /** Number of attempts that reached a server, by host and request. */
@@ -122,6 +126,8 @@
   #nextRequestId = 1;
   /** False while the registry answers no host. */
   isRegistryUp = true;
+  /** Hosts that the registry turns away while it answers the others. */
+  readonly refusedByRegistry = new Set<string>();
 
   constructor(options: Partial<GrayFailureFleetOptions> & RequiredOptions) {
     this.#options = {...DEFAULT_GRAY_FAILURE_FLEET_OPTIONS, silentPaths: new Set(), ...options};
@@ -356,13 +362,14 @@
       return;
     }
     this.#registryReaders.add(hostId);
+    this.registryReads.push({hostId, atMs: this.queue.nowMs});
     this.#sendRegistryUpdate(hostId, true, this.#publishedChanges);
     this.#confirmPeriodically(hostId);
   }
 
-  /** Confirms to a registry reader, every 1.5 s, that what it read is current. */
+  /** Confirms to a registry reader, at the end of each watch, that what it read is current. */
   #confirmPeriodically(hostId: string): void {
-    this.after(1_500, () => {
+    this.after(registryWatchMs, () => {
       if (this.#registryReaders.has(hostId)) {
         this.#sendRegistryUpdate(hostId, false, []);
         this.#confirmPeriodically(hostId);
@@ -376,7 +383,7 @@
       return;
     }
     this.after(4, () => {
-      if (!this.isRegistryUp) {
+      if (!this.isRegistryUp || this.refusedByRegistry.has(hostId)) {
         host.deliver({type: 'registryUnreadable', reason: 'down'});
         return;
       }
--- a/packages/core/src/__tests__/registryTask.test.ts
+++ b/packages/core/src/__tests__/registryTask.test.ts
@@ -1,13 +1,14 @@
 import {expect} from 'chai';
 import {DEFAULT_FLEET_BOUNDS} from '../fleet/fleetBounds.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
+import {SeededRandom} from '../random/seededRandom.ts';
 import {RegistryTask} from '../registry/registryTask.ts';
 
 const hosts = ['a', 'b', 'c', 'd'];
 
 /** Ranks hosts by name in descending order: d, c, b, a. */
 function hash(text: string): number {
-  return text.charCodeAt(text.indexOf('@dc@') + '@dc@'.length);
+  return text.charCodeAt(text.lastIndexOf('@') + 1);
 }
 
 /** The first query among the messages, with the host it is sent to. */
@@ -29,6 +30,7 @@
     dataCentre: 'dc',
     hash,
     bounds: DEFAULT_FLEET_BOUNDS,
+    random: new SeededRandom(1),
   });
   const live = hosts.map((hostId) => ({hostId, dataCentre: 'dc', bornMs: 0}));
   task.receive({type: 'rosterChanged', live, knownCount: hosts.length}, 0);
--- a/packages/core/src/host/gossipCore.ts
+++ b/packages/core/src/host/gossipCore.ts
@@ -46,7 +46,7 @@
   const firstNonce = 1 + random.nextInt(nonceRange);
   const tasks = [
     new RosterTask({selfId, dataCentre, bornMs, seedIds, random}),
-    new RegistryTask({selfId, dataCentre, hash, bounds, firstNonce, isFirstStart}),
+    new RegistryTask({selfId, dataCentre, hash, bounds, random, firstNonce, isFirstStart}),
     new PlacementHomeTask({selfId, bounds}),
     new QuotaHomeTask({selfId, dataCentre, hash, bounds, isFirstStart}),
     new QuotaEntryTask({hash, bounds, firstNonce}),
--- a/packages/core/src/registry/registrySources.ts
+++ b/packages/core/src/registry/registrySources.ts
@@ -2,40 +2,46 @@
 import type {LiveHost} from '../messages/hostMessages.ts';
 import type {HashFunction} from '../hash/hashFunction.ts';
 
-/** Number of hosts of the own data centre that are tried before hosts of other data centres. */
-const localReaderCount = 2;
+/** Hosts that read the registry for the whole fleet: the reader and its substitute. */
+const fleetReaderCount = 2;
+/** Hosts of each data centre that relay registry data to the others there: the relay and its substitute. */
+const localRelayCount = 2;
 
-/** Identity of a host and the hash function by which it ranks the hosts of each data centre. */
+/** Identity of a host and the hash function by which it ranks the hosts. */
 export interface RegistrySourcesOptions {
   readonly selfId: string;
   readonly dataCentre: string;
   readonly hash: HashFunction;
 }
 
+/**
+ * What a host does to distribute registry data: read it for the fleet, relay it within its data centre, or
+ * only query the relays.
+ */
+export type RegistryRole = 'reader' | 'relay' | 'follower';
+
 /**
  * The sources from which a host gets the contents of the registry, in the order in which they are tried.
  *
- * In each data centre the first host by `rankHosts` reads the registry itself and the others query that host,
- * so that the number of reads does not grow with the fleet. The own host id as a source stands for a read of
- * the registry.
+ * One host of the fleet reads the registry, one host of each data centre queries that reader, and all others
+ * query the relay of their data centre, so that neither the number of reads nor the traffic between data
+ * centres grows with the fleet. Each has a substitute. The own host id as a source stands for a read of the
+ * registry.
  */
 export class RegistrySources {
   readonly #options: RegistrySourcesOptions;
   #sourceIds: readonly string[];
   #index = 0;
-  #isReader = false;
+  #role: RegistryRole = 'follower';
 
   constructor(options: RegistrySourcesOptions) {
     this.#options = options;
     this.#sourceIds = [options.selfId];
   }
 
-  /**
-   * True if this host is one of the registry readers of its data centre: the first host or its substitute.
-   * Every other host reads the registry only as a last resort.
-   */
-  get isReader(): boolean {
-    return this.#isReader;
+  /** What this host does to distribute registry data; substitutes count as the host that they replace. */
+  get role(): RegistryRole {
+    return this.#role;
   }
 
   /** Host id of the source in use; the own id for a read of the registry. */
@@ -55,31 +61,31 @@
 
   /** Recomputes the order of the sources from the live hosts; a changed order starts at its first source. */
   setLiveHosts(liveHosts: readonly LiveHost[]): void {
-    const {selfId, dataCentre, hash} = this.#options;
-    const byDataCentre = new Map<string, LiveHost[]>();
-    for (const host of liveHosts) {
-      const hosts = byDataCentre.get(host.dataCentre) ?? [];
-      hosts.push(host);
-      byDataCentre.set(host.dataCentre, hosts);
-    }
-    const sourceIds: string[] = [];
-    const ranked = rankHosts(`registry@${dataCentre}`, byDataCentre.get(dataCentre) ?? [], hash);
-    for (const {hostId} of ranked.slice(0, localReaderCount)) {
-      sourceIds.push(hostId);
-      if (hostId === selfId) {
-        break;
+    const {selfId} = this.#options;
+    const readerIds = this.#rankedIds('', liveHosts).slice(0, fleetReaderCount);
+    const relayIds: string[] = [];
+    const remoteRelayIds: string[] = [];
+    for (const [dataCentre, hosts] of this.#groupByDataCentre(liveHosts)) {
+      const ranked = this.#rankedIds(dataCentre, hosts);
+      if (dataCentre === this.#options.dataCentre) {
+        relayIds.push(...ranked.slice(0, localRelayCount));
+      } else {
+        remoteRelayIds.push(...ranked.slice(0, 1));
       }
     }
-    this.#isReader = sourceIds.includes(selfId);
-    for (const [otherDataCentre, hosts] of byDataCentre) {
-      const [first] = rankHosts(`registry@${otherDataCentre}`, hosts, hash);
-      if (otherDataCentre !== dataCentre && first !== undefined) {
-        sourceIds.push(first.hostId);
-      }
+    this.#role = 'follower';
+    let preferredIds: readonly string[] = relayIds;
+    if (relayIds.includes(selfId)) {
+      this.#role = 'relay';
+      preferredIds = [...idsUpTo(selfId, relayIds).slice(0, -1), ...readerIds, selfId];
     }
-    if (!this.#isReader) {
-      sourceIds.push(selfId);
+    if (readerIds.includes(selfId)) {
+      this.#role = 'reader';
+      preferredIds = idsUpTo(selfId, readerIds);
     }
+    const sourceIds = [
+      ...new Set([...preferredIds, ...readerIds, ...relayIds, ...remoteRelayIds, selfId]),
+    ];
     if (sourceIds.join(' ') !== this.#sourceIds.join(' ')) {
       this.#sourceIds = sourceIds;
       this.#index = 0;
@@ -96,4 +102,25 @@
   reset(): void {
     this.#index = 0;
   }
+
+  #groupByDataCentre(liveHosts: readonly LiveHost[]): Map<string, LiveHost[]> {
+    const byDataCentre = new Map<string, LiveHost[]>();
+    for (const host of liveHosts) {
+      const hosts = byDataCentre.get(host.dataCentre) ?? [];
+      hosts.push(host);
+      byDataCentre.set(host.dataCentre, hosts);
+    }
+    return byDataCentre;
+  }
+
+  /** Host ids in the order in which they take a role; an empty scope stands for the whole fleet. */
+  #rankedIds(scope: string, hosts: readonly LiveHost[]): string[] {
+    const ranked = rankHosts(`registry@${scope}`, hosts, this.#options.hash);
+    return ranked.map(({hostId}) => hostId);
+  }
+}
+
+/** The ids before the given one and that one. */
+function idsUpTo(id: string, ids: readonly string[]): readonly string[] {
+  return ids.slice(0, ids.indexOf(id) + 1);
 }
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -4,6 +4,7 @@
 import type {RegistryRead, RosterChanged} from '../messages/hostMessages.ts';
 import type {PeerMessage, RegistryAnswer, RegistryAsk} from '../messages/peerMessages.ts';
 import type {HashFunction} from '../hash/hashFunction.ts';
+import type {RandomSource} from '../random/randomSource.ts';
 import {RegistrySources} from './registrySources.ts';
 import {RegistryView} from './registryView.ts';
 
@@ -14,6 +15,7 @@
   /** Ranks the hosts of each data centre for reading the registry; the same function on every host. */
   readonly hash: HashFunction;
   readonly bounds: FleetBounds;
+  readonly random: RandomSource;
   /** Nonce of the first query; differs between processes on the same host. Default: 1. */
   readonly firstNonce: number;
   /** Interval between queries to a peer, in ms. Default: 700. */
@@ -21,8 +23,9 @@
   /** Longest wait for a peer's reply, in ms. Default: 300, far above a round trip between data centres. */
   readonly replyTimeoutMs: number;
   /**
-   * Age above which a peer's registry data counts as too old and the next source is tried, in ms. Default:
-   * 1,500, the length of a registry watch without changes plus some network delay.
+   * Age above which the registry data of a registry reader counts as too old and the next source is tried,
+   * in ms. Default: 1,800, the length of a registry watch without changes, the pause between two watches and
+   * some network delay. A relay may be one query interval behind its reader.
    */
   readonly maxReplyAgeMs: number;
   /** True if the whole fleet starts for the first time, before callers connect. Default: false. */
@@ -36,29 +39,54 @@
   firstNonce: 1,
   queryIntervalMs: 700,
   replyTimeoutMs: 300,
-  maxReplyAgeMs: 1_500,
+  maxReplyAgeMs: 1_800,
   isFirstStart: false,
   transitMarginMs: 600,
 } as const;
 
 type RequiredRegistryOptions = Pick<
   RegistryTaskOptions,
-  'selfId' | 'dataCentre' | 'hash' | 'bounds'
+  'selfId' | 'dataCentre' | 'hash' | 'bounds' | 'random'
 >;
 
 const timerId = 'registry.tick';
 /** Interval of the timer that sends queries and checks freshness, in ms. */
 const tickIntervalMs = 100;
-/** First start of the fleet: longest wait for another host before the registry is read anyway, in ms. */
+/** Longest wait of a new process for another host before the registry is read anyway, in ms. */
 const firstContactTimeoutMs = 1_200;
-/** First start of the fleet: delay of a registry reader after its first contact with another host, in ms. */
-const readerStartDelayMs = 300;
-/** First start of the fleet: delay of every other host after its first contact with another host, in ms. */
-const followerStartDelayMs = 700;
-/** Delay of a registry reader after all sources failed, in ms. */
+/**
+ * First start of the fleet: time for which the roster must not have grown before the registry is read, in ms,
+ * so that all hosts agree on the reader; two gossip rounds of the startup phase.
+ */
+const settledRosterMs = 500;
+/** First start of the fleet: longest wait for the roster to settle, in ms. */
+const settledRosterTimeoutMs = 4_000;
+/**
+ * Later start of a process: time for which the roster must not have grown before the host reads the registry
+ * itself, in ms, as many hosts may have restarted together.
+ */
+const restartSettledRosterMs = 200;
+/** Later start of a process: longest wait for the roster to settle, in ms. */
+const restartSettledTimeoutMs = 800;
+/**
+ * Time from its first contact for which a new process queries peers that have no registry data yet again,
+ * before it reads the registry itself, in ms: the reader of a fleet that starts as a whole needs it to read
+ * every page.
+ */
+const emptyPeersTimeoutMs = 1_500;
+/** Pause before a peer that has no registry data yet is queried again, in ms. */
+const emptyPeerRetryMs = 100;
+/** Delay of a reader or relay after all sources failed, in ms. */
 const readerRetryDelayMs = 400;
 /** Delay of every other host after all sources failed, in ms. */
 const followerRetryDelayMs = 1_500;
+/**
+ * Followers of the whole fleet that read the registry in each round in which their peers report that the
+ * registry fails them. The registry may serve some hosts while it turns others away, and counts every call.
+ */
+const lastResortReaders = 4;
+/** Number of distinct values of a random fraction. */
+const randomResolution = 1_000_000;
 /** Time for which another source is used before the preferred source is tried again, in ms. */
 const preferredSourceRetryMs = 3_000;
 /** Time after its last query for which a host is notified of registry changes, in ms. */
@@ -68,8 +96,12 @@
  * Keeps the host's copy of the registry up to date. The registry is the store in which operators publish the
  * configuration document and the data centres out of service, and in which backend servers register themselves.
  *
- * The first registry reader of each data centre watches the registry itself; every other host queries a peer
- * and reads the registry only if its peers fail (see `RegistrySources`).
+ * One reader watches the registry for the fleet; every other host queries a peer and reads the registry only
+ * if its peers fail (see `RegistrySources`).
+ *
+ * Load pattern: all hosts start at once, or the registry is down or turns hosts away. Every call counts, so a
+ * new process gets the registry data from peers where it can, and of the hosts whose peers fail only a few
+ * try the registry in each round.
  * A host may serve customers while its newest registry data, read by itself or received from a peer, is
  * within the key withdrawal bound. Ages count from the moment the query was sent, on the own clock, so that
  * a reply that sat in a buffer while the host was suspended does not appear recent.
@@ -93,6 +125,11 @@
   #startedAtMs: number | undefined;
   /** When the roster, the gossip-based member list, first listed another host, in ms; undefined before. */
   #firstContactAtMs: number | undefined;
+  #liveCount = 1;
+  /** When the roster last grew, in ms. */
+  #rosterGrewAtMs = 0;
+  /** True if a peer replied since the sources were last tried from the first on. */
+  #hasPeerReplied = false;
   /** Latest moment at which the registry surely held nothing newer than the view, in ms. */
   #confirmedAtMs = Number.NEGATIVE_INFINITY;
   #pendingQuery: {readonly nonce: number; readonly queriedAtMs: number} | undefined;
@@ -140,7 +177,7 @@
           revision: this.#view.revision,
           ageMs: Math.round(nowMs - this.#confirmedAtMs),
           source: this.#sources.current,
-          isReader: this.#sources.isReader,
+          role: this.#sources.role,
         };
         return [{type: 'statusReported', askId: message.askId, section: 'registry', value}];
       }
@@ -153,12 +190,16 @@
     if (live.length > 1) {
       this.#firstContactAtMs ??= nowMs;
     }
+    if (live.length > this.#liveCount) {
+      this.#rosterGrewAtMs = nowMs;
+    }
+    this.#liveCount = live.length;
     const previousSource = this.#sources.current;
     this.#sources.setLiveHosts(live);
     if (previousSource === this.#sources.current) {
       return [];
     }
-    const fields = {source: this.#sources.current, isReader: this.#sources.isReader};
+    const fields = {source: this.#sources.current, role: this.#sources.role};
     return [{type: 'log', level: 'info', event: 'registry.source', fields}];
   }
 
@@ -177,22 +218,33 @@
   }
 
   /**
-   * True once the host may get registry data.
+   * True once the host may get registry data: after its first contact with another host or a timeout.
    *
-   * When the whole fleet starts for the first time, before callers connect, each host first waits until it
-   * has found the others, so that not every host reads the registry itself. A process that starts later
-   * reads without delay, because callers wait for it.
+   * When the whole fleet starts for the first time, before callers connect, each host waits until the roster
+   * has settled. A process that starts later queries its peers from its first contact on, because callers
+   * wait for it, and only a read of the registry waits for the roster.
    */
   #hasStartDelayPassed(nowMs: number): boolean {
-    const {isFirstStart} = this.#options;
-    if (!isFirstStart || this.#confirmedAtMs > 0 || this.#startedAtMs === undefined) {
+    if (this.#confirmedAtMs > 0 || this.#startedAtMs === undefined) {
       return true;
     }
     if (this.#firstContactAtMs === undefined) {
       return nowMs - this.#startedAtMs >= firstContactTimeoutMs;
     }
-    const waitMs = this.#sources.isReader ? readerStartDelayMs : followerStartDelayMs;
-    return nowMs - this.#firstContactAtMs >= waitMs;
+    if (this.#options.isFirstStart) {
+      return this.#hasRosterSettled(settledRosterMs, settledRosterTimeoutMs, nowMs);
+    }
+    return (
+      !this.#sources.isSelf ||
+      this.#hasRosterSettled(restartSettledRosterMs, restartSettledTimeoutMs, nowMs)
+    );
+  }
+
+  /** True if the roster has not grown for a while, or the process has waited for that long enough. */
+  #hasRosterSettled(settledMs: number, timeoutMs: number, nowMs: number): boolean {
+    return (
+      nowMs - this.#rosterGrewAtMs >= settledMs || nowMs - (this.#startedAtMs ?? nowMs) >= timeoutMs
+    );
   }
 
   /** Queries the current source when a query is due, or watches the registry if that is the source. */
@@ -249,9 +301,14 @@
   #onSourceFailed(reason: string, nowMs: number): readonly CoreMessage[] {
     const failedSource = this.#sources.current;
     this.#isFailing = true;
-    const hasTriedAll = this.#sources.advance();
+    const hasTriedAll = this.#sources.advance() || this.#mustSkipRegistry();
+    if (hasTriedAll) {
+      this.#sources.reset();
+      this.#hasPeerReplied = false;
+    }
     this.#preferredSourceRetryAtMs = nowMs + preferredSourceRetryMs;
-    const retryDelayMs = this.#sources.isReader ? readerRetryDelayMs : followerRetryDelayMs;
+    const isFollower = this.#sources.role === 'follower';
+    const retryDelayMs = isFollower ? followerRetryDelayMs : readerRetryDelayMs;
     this.#nextQueryAtMs = hasTriedAll ? nowMs + retryDelayMs : nowMs;
     const fields = {
       failed: failedSource,
@@ -264,6 +321,19 @@
     return [log, count, ...(hasTriedAll ? this.#setWatching(false) : this.#pollSource(nowMs))];
   }
 
+  /**
+   * True where the next source is the registry and this host leaves it to others: its peers replied that the
+   * registry fails them, so that only some followers try it.
+   */
+  #mustSkipRegistry(): boolean {
+    if (!this.#sources.isSelf || this.#sources.role !== 'follower' || !this.#hasPeerReplied) {
+      return false;
+    }
+    const {random} = this.#options;
+    const fraction = random.nextInt(randomResolution) / randomResolution;
+    return fraction >= lastResortReaders / this.#liveCount;
+  }
+
   #onUnreadable(reason: string, nowMs: number): readonly CoreMessage[] {
     return this.#sources.isSelf && this.#isWatching ? this.#onSourceFailed(reason, nowMs) : [];
   }
@@ -312,15 +382,16 @@
       return [];
     }
     this.#pendingQuery = undefined;
+    this.#hasPeerReplied = true;
     const {ageMs} = reply;
     if (ageMs === undefined) {
-      return this.#onSourceFailed('knows nothing yet', nowMs);
+      return this.#onEmptyReply(nowMs);
     }
     const isBehind = reply.documentVersion < (this.#view.document?.version ?? 0);
     const messages = isBehind
       ? []
       : this.#applyUpdate(reply, pending.queriedAtMs - ageMs, fromHostId, nowMs);
-    if (ageMs > this.#options.maxReplyAgeMs) {
+    if (ageMs > this.#maxReplyAgeMs) {
       return [...messages, ...this.#onSourceFailed('old', nowMs)];
     }
     if (reply.isFailing === true) {
@@ -330,6 +401,25 @@
     return messages;
   }
 
+  /** Oldest registry data that this host accepts: that of a relay may be one query interval older. */
+  get #maxReplyAgeMs(): number {
+    const {maxReplyAgeMs, queryIntervalMs} = this.#options;
+    return this.#sources.role === 'follower' ? maxReplyAgeMs + queryIntervalMs : maxReplyAgeMs;
+  }
+
+  /** Queries a peer without registry data again for a while after the start, then tries the next source. */
+  #onEmptyReply(nowMs: number): readonly CoreMessage[] {
+    const sinceContactMs = nowMs - (this.#firstContactAtMs ?? nowMs);
+    const timeoutMs = this.#options.isFirstStart
+      ? settledRosterTimeoutMs + emptyPeersTimeoutMs
+      : emptyPeersTimeoutMs;
+    if (this.#confirmedAtMs > 0 || sinceContactMs >= timeoutMs) {
+      return this.#onSourceFailed('knows nothing yet', nowMs);
+    }
+    this.#nextQueryAtMs = nowMs + emptyPeerRetryMs;
+    return [];
+  }
+
   /** Applies registry data to the view and announces to the other tasks what changed. */
   #applyUpdate(
     update: Pick<RegistryRead, 'isWhole' | 'revision' | 'changes'>,
