Roster: digests of one byte a member, neighbours, homes on hosts that can carry them

Cause: each gossip message carried the whole member list, 33 KB/s a host at 292 hosts by its size; each host opened a connection to random hosts of the whole fleet and, at its stop, to all of them; both sides of a network partition stayed apart for good, as dead hosts were never tried again; the home of a busy backend could be a host of 0.27 of a core. Change: hosts exchange a hash and one byte a member for each of 16 groups and send members only of groups that differ; nine neighbours a host, a dead host in every fifth round; a shutdown is passed on at once by each host that learns of it; homes of backends and registry roles prefer hosts with more cores; a restarted host serves once its roster has settled.

--- a/packages/core/src/fleet/homeFinder.ts
+++ b/packages/core/src/fleet/homeFinder.ts
@@ -1,6 +1,7 @@
 import type {LiveHost} from '../messages/hostMessages.ts';
 import type {HashFunction} from '../hash/hashFunction.ts';
 import {rankHosts} from './rankHosts.ts';
+import type {RankHostsOptions} from './rankHosts.ts';
 
 /** Time for which a home that did not reply is skipped, in ms. */
 const silentHostSkipMs = 2_000;
@@ -13,12 +14,14 @@
  */
 export class HomeFinder {
   readonly #hash: HashFunction;
+  readonly #rankOptions: RankHostsOptions;
   readonly #candidatesByKey = new Map<string, readonly string[]>();
   readonly #silentUntilMs = new Map<string, number>();
   #live: readonly LiveHost[] = [];
 
-  constructor(hash: HashFunction) {
+  constructor(hash: HashFunction, rankOptions: RankHostsOptions = {}) {
     this.#hash = hash;
+    this.#rankOptions = rankOptions;
   }
 
   /** Sets the hosts among which homes are chosen. */
@@ -51,7 +54,7 @@
   #candidates(homeKey: string): readonly string[] {
     let candidates = this.#candidatesByKey.get(homeKey);
     if (candidates === undefined) {
-      const ranked = rankHosts(homeKey, this.#live, this.#hash);
+      const ranked = rankHosts(homeKey, this.#live, this.#hash, this.#rankOptions);
       candidates = ranked.slice(0, maxCandidates).map(({hostId}) => hostId);
       this.#candidatesByKey.set(homeKey, candidates);
     }
--- a/packages/core/src/fleet/rankHosts.ts
+++ b/packages/core/src/fleet/rankHosts.ts
@@ -4,17 +4,25 @@
 /** Hosts that started in the same interval of this length count as equally old, in ms. */
 const generationMs = 10_000;
 
+/** How hosts are ordered. */
+export interface RankHostsOptions {
+  /** Whether hosts with more processing capacity come first. Default: false. */
+  readonly isByCapacity?: boolean;
+}
+
 /**
  * Orders hosts by their claim to be the home of a key. The order is the same on every host that sees the same
  * live hosts.
  *
  * Hosts of an older generation come first, so that a restarted host does not replace a home that has
- * collected state. Within a generation the order is a rendezvous hash of key and host.
+ * collected state. Within a generation the order is a rendezvous hash of key and host. Where `isByCapacity`,
+ * hosts with more processing capacity come before all others, for keys whose load one small host cannot carry.
  */
 export function rankHosts(
   homeKey: string,
   hosts: readonly LiveHost[],
   hash: HashFunction,
+  {isByCapacity = false}: RankHostsOptions = {},
 ): readonly LiveHost[] {
   const ranked = hosts.map((host) => ({
     host,
@@ -23,6 +31,7 @@
   }));
   ranked.sort(
     (one, other) =>
+      (isByCapacity ? other.host.capacityClass - one.host.capacityClass : 0) ||
       one.generation - other.generation ||
       other.weight - one.weight ||
       (one.host.hostId < other.host.hostId ? -1 : 1),
--- a/packages/core/src/host/gossipCore.ts
+++ b/packages/core/src/host/gossipCore.ts
@@ -19,6 +19,8 @@
   readonly dataCentre: string;
   /** Unix time of the start of this process, in ms. */
   readonly bornMs: number;
+  /** Processing capacity of this host, in cores. Default: 1. */
+  readonly capacityCores?: number | undefined;
   /** Hosts to contact first, by which the fleet is found. */
   readonly seedIds: readonly string[];
   /** Whether the whole fleet starts for the first time, before there are any callers. */
@@ -31,6 +33,8 @@
   readonly hash: HashFunction;
 }
 
+/** Default of `GossipCoreOptions.capacityCores`. */
+const defaultCapacityCores = 1;
 /**
  * Range of the random first number of queries and grants: each process on a host starts elsewhere, so that late
  * replies to an earlier process match nothing.
@@ -43,9 +47,10 @@
  */
 export function createGossipCore(options: GossipCoreOptions): HostCore {
   const {selfId, dataCentre, bornMs, seedIds, isFirstStart, bounds, random, hash} = options;
+  const capacityClass = Math.round(Math.log2(options.capacityCores ?? defaultCapacityCores));
   const firstNonce = 1 + random.nextInt(nonceRange);
   const tasks = [
-    new RosterTask({selfId, dataCentre, bornMs, seedIds, random}),
+    new RosterTask({hostId: selfId, dataCentre, bornMs, capacityClass, seedIds, random, hash}),
     new RegistryTask({selfId, dataCentre, hash, bounds, random, firstNonce, isFirstStart}),
     new PlacementHomeTask({selfId, bounds}),
     new QuotaHomeTask({selfId, dataCentre, hash, bounds, isFirstStart}),
--- a/packages/core/src/messages/hostMessages.ts
+++ b/packages/core/src/messages/hostMessages.ts
@@ -222,6 +222,8 @@
       dataCentre: z.string(),
       /** Unix time of the start of the process by its own clock, in ms. */
       bornMs: z.number(),
+      /** Binary logarithm of the host's processing capacity in cores, rounded. */
+      capacityClass: z.number().int(),
     }),
   ),
   /** Number of hosts that are alive, or were recently and did not announce their shutdown. */
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -326,11 +326,32 @@
 /** The sender is shutting down and will not use its shares of fleet-wide limits again. */
 export const leavingSchema = z.object({type: z.literal('leaving')});
 
-/** Gossip message: the members of the fleet as far as the sender has learned of them. */
+/**
+ * Gossip about the members of the fleet: what the sender lists, in short. Each group of members, by the hash of
+ * their host ids, has one entry.
+ */
+export const rosterDigestSchema = z.object({
+  type: z.literal('rosterDigest'),
+  /** Whether the receiver is to reply with its own digest. */
+  isAnswerWanted: z.boolean(),
+  groups: z.array(
+    z.object({
+      /** Hash of the processes that the sender lists in the group. */
+      identityHash: z.number().int(),
+      /** Heartbeat counter of each of them modulo 256, in the order of the host ids. */
+      beats: z.instanceof(Uint8Array),
+    }),
+  ),
+});
+
+/** Members of the fleet as the sender lists them. */
 export const rosterNewsSchema = z.object({
   type: z.literal('rosterNews'),
-  /** Whether the receiver is to reply with its own members. */
-  isAnswerWanted: z.boolean(),
+  /**
+   * Groups of which the sender lists every member here; the receiver is to reply with what the sender lacks in
+   * them.
+   */
+  wholeGroups: z.array(z.number().int()),
   /** Names of data centres, to which the members refer by position. */
   dataCentres: z.array(z.string()),
   members: z.array(
@@ -339,6 +360,8 @@
       dataCentre: z.number().int().min(0),
       /** Unix time of the start of the process by its own clock, in ms. */
       bornMs: z.number(),
+      /** Binary logarithm of the host's processing capacity in cores, rounded. */
+      capacityClass: z.number().int(),
       /** Heartbeat counter, which grows with each gossip round of the process. */
       beat: z.number().int(),
       /** Whether the host announced its shutdown. */
@@ -519,6 +542,7 @@
   requestClearedSchema,
   requestBlockedSchema,
   leavingSchema,
+  rosterDigestSchema,
   rosterNewsSchema,
   registryAskSchema,
   registryAnswerSchema,
@@ -546,6 +570,7 @@
 export type ClaimAnswer = z.infer<typeof claimAnswerSchema>;
 export type ClaimEnded = z.infer<typeof claimEndedSchema>;
 export type LoanAnswer = z.infer<typeof loanAnswerSchema>;
+export type RosterDigest = z.infer<typeof rosterDigestSchema>;
 export type RosterNews = z.infer<typeof rosterNewsSchema>;
 export type RegistryAsk = z.infer<typeof registryAskSchema>;
 export type RegistryAnswer = z.infer<typeof registryAnswerSchema>;
--- a/packages/core/src/placement/placementEntryTask.ts
+++ b/packages/core/src/placement/placementEntryTask.ts
@@ -109,7 +109,7 @@
 
   constructor(options: Partial<PlacementEntryTaskOptions> & RequiredPlacementEntryOptions) {
     this.#options = {...DEFAULT_PLACEMENT_ENTRY_OPTIONS, ...options};
-    this.#homeFinder = new HomeFinder(options.hash);
+    this.#homeFinder = new HomeFinder(options.hash, {isByCapacity: true});
     this.#localSelector = new LocalServerSelector(options.random);
     this.#nextQueryId = options.firstNonce;
   }
--- a/packages/core/src/registry/registrySources.ts
+++ b/packages/core/src/registry/registrySources.ts
@@ -115,7 +115,9 @@
 
   /** Host ids in the order in which they take a role; an empty scope stands for the whole fleet. */
   #rankedIds(scope: string, hosts: readonly LiveHost[]): string[] {
-    const ranked = rankHosts(`registry@${scope}`, hosts, this.#options.hash);
+    const ranked = rankHosts(`registry@${scope}`, hosts, this.#options.hash, {
+      isByCapacity: true,
+    });
     return ranked.map(({hostId}) => hostId);
   }
 }
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -56,16 +56,16 @@
 const firstContactTimeoutMs = 1_200;
 /**
  * First start of the fleet: time for which the roster must not have grown before the registry is read, in ms,
- * so that all hosts agree on the reader; two gossip rounds of the startup phase.
+ * so that all hosts agree on the reader; some nine gossip rounds of the startup phase.
  */
-const settledRosterMs = 500;
+const settledRosterMs = 900;
 /** First start of the fleet: longest wait for the roster to settle, in ms. */
 const settledRosterTimeoutMs = 4_000;
 /**
- * Later start of a process: time for which the roster must not have grown before the host reads the registry
- * itself, in ms, as many hosts may have restarted together.
+ * Later start of a process: time for which the roster must not have grown before the host gets registry data
+ * and serves, in ms, as many hosts may have restarted together.
  */
-const restartSettledRosterMs = 200;
+const restartSettledRosterMs = 250;
 /** Later start of a process: longest wait for the roster to settle, in ms. */
 const restartSettledTimeoutMs = 800;
 /**
@@ -221,8 +221,8 @@
    * True once the host may get registry data: after its first contact with another host or a timeout.
    *
    * When the whole fleet starts for the first time, before callers connect, each host waits until the roster
-   * has settled. A process that starts later queries its peers from its first contact on, because callers
-   * wait for it, and only a read of the registry waits for the roster.
+   * has settled. A process that starts later waits for that too, but not for long, because callers wait for
+   * it: until it knows the other hosts it would take itself or the wrong host for the home of a customer.
    */
   #hasStartDelayPassed(nowMs: number): boolean {
     if (this.#confirmedAtMs > 0 || this.#startedAtMs === undefined) {
@@ -234,10 +234,7 @@
     if (this.#options.isFirstStart) {
       return this.#hasRosterSettled(settledRosterMs, settledRosterTimeoutMs, nowMs);
     }
-    return (
-      !this.#sources.isSelf ||
-      this.#hasRosterSettled(restartSettledRosterMs, restartSettledTimeoutMs, nowMs)
-    );
+    return this.#hasRosterSettled(restartSettledRosterMs, restartSettledTimeoutMs, nowMs);
   }
 
   /** True if the roster has not grown for a while, or the process has waited for that long enough. */
--- a/packages/core/src/roster/rosterTask.ts
+++ b/packages/core/src/roster/rosterTask.ts
@@ -2,46 +2,58 @@
 import type {CoreMessage} from '../messages/coreMessage.ts';
 import type {LiveHost} from '../messages/hostMessages.ts';
 import type {PeerMessage} from '../messages/peerMessages.ts';
+import type {HashFunction} from '../hash/hashFunction.ts';
 import type {RandomSource} from '../random/randomSource.ts';
-import {RosterTable} from './rosterTable.ts';
-import type {RosterTableIdentity, RosterTableOptions} from './rosterTable.ts';
+import {GossipTargets} from './gossipTargets.ts';
+import type {Member, MemberIdentity} from './member.ts';
+import {RosterTable, toNews} from './rosterTable.ts';
+import type {RosterTableOptions} from './rosterTable.ts';
 
 /** Settings of the gossip about the members of the fleet. */
-export interface RosterTaskOptions extends RosterTableIdentity {
+export interface RosterTaskOptions extends MemberIdentity {
   /** Peer addresses of some hosts of the fleet, by which the others are found; they may be stale or down. */
   readonly seedIds: readonly string[];
   readonly random: RandomSource;
-  /** Interval between rounds of gossip, in ms. Default: 800. */
+  readonly hash: HashFunction;
+  /** Interval between rounds of gossip, in ms. Default: 500. */
   readonly roundMs: number;
-  /** Interval between rounds of gossip in the startup phase, in ms. Default: 200. */
+  /** Interval between rounds of gossip in the startup phase, in ms. Default: 100. */
   readonly startupRoundMs: number;
-  /** Length of the startup phase of a host, in ms. Default: 3,000. */
+  /** Length of the startup phase of a host, in ms. Default: 2,000. */
   readonly startupMs: number;
   /** Number of rounds of which one goes to another data centre. Default: 4. */
   readonly remoteEveryRounds: number;
+  /** Number of rounds of which one goes to a host that counts as dead. Default: 5. */
+  readonly lostEveryRounds: number;
+  /** Number of rounds of the startup phase of which one goes to a seed. Default: 3. */
+  readonly seedEveryStartupRounds: number;
   /** Settings of the member list. */
   readonly tableOptions: Partial<RosterTableOptions>;
 }
 
 /** Defaults of {@link RosterTaskOptions}. */
 export const DEFAULT_ROSTER_OPTIONS = {
-  roundMs: 800,
-  startupRoundMs: 200,
-  startupMs: 3_000,
+  roundMs: 500,
+  startupRoundMs: 100,
+  startupMs: 2_000,
   remoteEveryRounds: 4,
+  lostEveryRounds: 5,
+  seedEveryStartupRounds: 3,
   tableOptions: {},
 } as const;
 
-type RequiredRosterOptions = Pick<RosterTaskOptions, 'seedIds' | 'random'> & RosterTableIdentity;
+type RequiredRosterOptions = Pick<RosterTaskOptions, 'seedIds' | 'random' | 'hash'> &
+  MemberIdentity;
 
 const timerId = 'roster.round';
 
 /**
  * Maintains the roster, a gossip-based member list, in a fleet whose hosts are not published by a platform.
  *
- * In each round a host increments its own heartbeat counter and sends its list to one peer, mostly in its
- * own data centre. A host whose counter stops growing counts as dead. A host's id is the address of its
- * peer port.
+ * In each round a host increments its own heartbeat counter and exchanges digests with one peer, mostly in
+ * its own data centre; where the digests differ, both send the members that differ. A host whose counter
+ * stops growing counts as dead. A shutdown is passed on at once by every host that learns of it. A host's id
+ * is the address of its peer port.
  */
 export class RosterTask implements CoreTask {
   readonly accepts = [
@@ -55,8 +67,8 @@
 
   readonly #options: RosterTaskOptions;
   readonly #table: RosterTable;
+  readonly #targets: GossipTargets;
   #startedAtMs: number | undefined;
-  #round = 0;
   #lastReported = '';
   #live: readonly LiveHost[] = [];
   #seedIds: readonly string[];
@@ -64,7 +76,14 @@
   constructor(options: Partial<RosterTaskOptions> & RequiredRosterOptions) {
     this.#options = {...DEFAULT_ROSTER_OPTIONS, ...options};
     this.#seedIds = options.seedIds;
-    this.#table = new RosterTable(options, this.#options.tableOptions);
+    const {selfId, ...identity} = {...options, selfId: options.hostId};
+    const {hostId, dataCentre, bornMs, capacityClass} = identity;
+    this.#table = new RosterTable(
+      {hostId, dataCentre, bornMs, capacityClass},
+      options.hash,
+      this.#options.tableOptions,
+    );
+    this.#targets = new GossipTargets({...this.#options, selfId});
   }
 
   receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
@@ -80,8 +99,7 @@
         this.#seedIds = message.seedIds;
         return [this.#linkPeers(this.#live)];
       case 'shutdownAnnounced':
-        this.#table.markLeaving();
-        return [...this.#gossipToAll(nowMs), ...this.#reportChange(nowMs)];
+        return [...this.#passOn([this.#table.markLeaving()]), ...this.#reportChange(nowMs)];
       case 'statusWanted': {
         const value = {
           live: this.#live.map(({hostId}) => hostId),
@@ -108,56 +126,44 @@
   }
 
   #onPeerMessage(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
-    if (message.type !== 'rosterNews') {
-      return [];
-    }
-    this.#table.merge(message, nowMs);
-    const change = this.#reportChange(nowMs);
-    if (!message.isAnswerWanted) {
-      return change;
+    switch (message.type) {
+      case 'rosterDigest': {
+        const differing = this.#table.mergeDigest(message, nowMs);
+        const replies: CoreMessage[] = [];
+        if (message.isAnswerWanted) {
+          replies.push(this.#send(fromHostId, this.#table.buildDigest(false, nowMs)));
+          if (differing.length > 0) {
+            replies.push(this.#send(fromHostId, this.#table.buildNews(differing, nowMs)));
+          }
+        }
+        return [...this.#reportChange(nowMs), ...replies];
+      }
+      case 'rosterNews': {
+        const {unknownToSender, newlyLeaving} = this.#table.mergeNews(message, nowMs);
+        const reply =
+          unknownToSender.length > 0 ? [this.#send(fromHostId, toNews(unknownToSender))] : [];
+        const passedOn = this.#passOn(newlyLeaving);
+        return [...this.#reportChange(nowMs), ...reply, ...passedOn];
+      }
+      default:
+        return [];
     }
-    return [...change, this.#send(fromHostId, this.#table.buildGossipMessage(false, nowMs))];
   }
 
-  /** Sends the list to the peer of this round and requests the peer's list. */
+  /** Sends the digest to the peer of this round and requests the peer's digest. */
   #gossip(isStarting: boolean, nowMs: number): readonly CoreMessage[] {
-    this.#round += 1;
-    const target = this.#pickTarget(isStarting);
-    return target === undefined
-      ? []
-      : [this.#send(target, this.#table.buildGossipMessage(true, nowMs))];
-  }
-
-  /**
-   * Selects the peer of a round at random: a seed, if there is any, in every other round of the startup
-   * phase and while no other host is known to be alive, else a live host.
-   */
-  #pickTarget(isStarting: boolean): string | undefined {
-    const {selfId, dataCentre, random, remoteEveryRounds} = this.#options;
-    const seeds = this.#seedIds.filter((id) => id !== selfId);
-    const others = this.#live.filter(({hostId}) => hostId !== selfId);
-    const usesSeed = others.length === 0 || (isStarting && this.#round % 2 === 1);
-    if (usesSeed && seeds.length > 0) {
-      return seeds[random.nextInt(seeds.length)];
-    }
-    const isRemote = this.#round % remoteEveryRounds === 0;
-    const preferred = others.filter((host) => (host.dataCentre === dataCentre) !== isRemote);
-    const candidates = preferred.length > 0 ? preferred : others;
-    return candidates.length === 0
-      ? undefined
-      : candidates[random.nextInt(candidates.length)]?.hostId;
+    const lostIds = this.#table.lostHostIds(nowMs);
+    const target = this.#targets.next(this.#seedIds, lostIds, isStarting);
+    return target === undefined ? [] : [this.#send(target, this.#table.buildDigest(true, nowMs))];
   }
 
-  /** Sends the list to every live host at once, when this host shuts down. */
-  #gossipToAll(nowMs: number): readonly CoreMessage[] {
-    const messages: CoreMessage[] = [];
-    const message = this.#table.buildGossipMessage(false, nowMs);
-    for (const {hostId} of this.#live) {
-      if (hostId !== this.#options.selfId) {
-        messages.push(this.#send(hostId, message));
-      }
+  /** Sends members that shut down to the neighbours at once. */
+  #passOn(leaving: readonly Member[]): readonly CoreMessage[] {
+    if (leaving.length === 0) {
+      return [];
     }
-    return messages;
+    const news = toNews(leaving);
+    return this.#targets.neighbourIds.map((hostId) => this.#send(hostId, news));
   }
 
   /** Publishes the live hosts to the other tasks and logs the difference, if they changed. */
@@ -171,6 +177,7 @@
     const logs = this.#logChanges(live);
     this.#lastReported = summary;
     this.#live = live;
+    this.#targets.setLiveHosts(live);
     return [{type: 'rosterChanged', live, knownCount}, ...logs, this.#linkPeers(live)];
   }
 
--- a/packages/proxy/src/host/gossipHost.ts
+++ b/packages/proxy/src/host/gossipHost.ts
@@ -49,6 +49,8 @@
   readonly timers: TimerService;
   /** Unix time of the start of the process, in ms. */
   readonly bornMs: number;
+  /** Processing capacity of this host, in cores; homes of busy keys are chosen by it. */
+  readonly capacityCores: number;
   /** Reads the wall clock, in ms. */
   readonly wallClockMs: () => number;
   readonly log: Logger;
@@ -113,13 +115,14 @@
     const count: MetricsTask['count'] = (name, tags) => {
       this.#metrics.count(name, tags);
     };
-    const {dataCentre, bornMs, seedIds, isFirstStart, bounds, hash, seed} = options;
+    const {dataCentre, bornMs, capacityCores, seedIds, isFirstStart, bounds, hash, seed} = options;
     const random = new SeededRandom(seed);
     this.#runner = new CoreRunner({
       core: createGossipCore({
         selfId,
         dataCentre,
         bornMs,
+        capacityCores,
         seedIds,
         isFirstStart,
         bounds,
