--- a/packages/proxy/src/host/gossipHost.ts
+++ b/packages/proxy/src/host/gossipHost.ts
@@ -83,8 +83,6 @@
 const reconnectMs = 100;
 /** Longest pause of a caller within a request body, in ms. */
 const bodyIdleTimeoutMs = 5_000;
-/** Interval of StatsD metrics, in ms; without effect, as these hosts send metrics to no collector. */
-const metricsIntervalMs = 10_000;
 
 /**
  * A proxy host of a fleet whose hosts find each other by gossip, starting from seed addresses, and read their
@@ -108,7 +106,7 @@
     const {addresses, dialect, timers, log, source} = options;
     const selfId = addresses.peers;
     this.#log = new RateLimitedLog({log, timers});
-    this.#metrics = new MetricsTask({selfId, statsd: undefined, intervalMs: metricsIntervalMs});
+    this.#metrics = new MetricsTask();
     const postToCore: CoreRunner['post'] = (event) => {
       this.#runner.post(event);
     };
--- a/packages/proxy/src/host/proxyHost.ts
+++ b/packages/proxy/src/host/proxyHost.ts
@@ -7,7 +7,9 @@
 import {AdminTask} from '../admin/adminTask.ts';
 import {BackendTask} from '../backends/backendTask.ts';
 import {CallerTask} from '../callers/callerTask.ts';
+import type {MetricsSink} from '../metrics/metricsSink.ts';
 import {MetricsTask} from '../metrics/metricsTask.ts';
+import {StatsdSink} from '../metrics/statsdSink.ts';
 import {DefaultDialect} from '../dialect/defaultDialect.ts';
 import {HttpPlatform} from '../platform/httpPlatform.ts';
 import {PlatformTask} from '../platform/platformTask.ts';
@@ -57,12 +59,7 @@
     const postToCore: CoreRunner['post'] = (event) => {
       this.#runner.post(event);
     };
-    this.#metrics = new MetricsTask({
-      selfId,
-      statsd:
-        settings.metrics.statsd === undefined ? undefined : splitAddress(settings.metrics.statsd),
-      intervalMs: settings.metrics.intervalMs,
-    });
+    this.#metrics = new MetricsTask({sink: this.#createMetricsSink()});
     const count: MetricsTask['count'] = (name, tags) => {
       this.#metrics.count(name, tags);
     };
@@ -254,4 +251,20 @@
     }
     this.#runner.post({type: 'peerMessageReceived', fromHostId, message});
   }
+
+  /** The connection to the StatsD collector of the settings, if they name one. */
+  #createMetricsSink(): MetricsSink | undefined {
+    const {host, metrics} = this.#options.settings;
+    if (metrics.statsd === undefined) {
+      return undefined;
+    }
+    return new StatsdSink({
+      selfId: host.id,
+      ...splitAddress(metrics.statsd),
+      intervalMs: metrics.intervalMs,
+      onError: () => {
+        this.#metrics.count('metrics.sendFailed');
+      },
+    });
+  }
 }
--- a/packages/proxy/src/metrics/metricsTask.ts
+++ b/packages/proxy/src/metrics/metricsTask.ts
@@ -1,59 +1,40 @@
-import {StatsD} from 'hot-shots';
 import {CounterTable} from './counterTable.ts';
+import type {MetricsSink} from './metricsSink.ts';
 import {PrometheusMetrics} from './prometheusMetrics.ts';
 
 /** Settings of a host's metrics. */
 export interface MetricsTaskOptions {
-  /** Id of the host, sent with every StatsD metric as tag `host`. */
-  readonly selfId: string;
-  /** Address of the StatsD collector; undefined, the default, where metrics are not sent to one. */
-  readonly statsd: {readonly host: string; readonly port: number} | undefined;
-  /** Interval at which buffered metrics are sent to the collector, in ms. Default: 10,000. */
-  readonly intervalMs: number;
+  /** Further receiver of the metrics. Default: none. */
+  readonly sink: MetricsSink | undefined;
 }
 
-/** Records counters and times of a host; owns the socket to the StatsD collector. */
+export const DEFAULT_METRICS_TASK_OPTIONS = {sink: undefined} as const;
+
+/** Records counters and times of a host. */
 export class MetricsTask {
   readonly counters = new CounterTable();
   readonly prometheus = new PrometheusMetrics();
-  readonly #statsdClient: StatsD | undefined;
+  readonly #options: MetricsTaskOptions;
 
-  constructor({selfId, statsd, intervalMs}: MetricsTaskOptions) {
-    if (statsd !== undefined) {
-      this.#statsdClient = new StatsD({
-        ...statsd,
-        prefix: 'godwitspring.',
-        globalTags: {host: selfId},
-        maxBufferSize: 1_400,
-        bufferFlushInterval: intervalMs,
-        errorHandler: () => undefined,
-      });
-    }
+  constructor(options: Partial<MetricsTaskOptions> = {}) {
+    this.#options = {...DEFAULT_METRICS_TASK_OPTIONS, ...options};
   }
 
   /** Adds to a counter. */
   count(name: string, tags: Readonly<Record<string, string>> = {}, by = 1): void {
     this.counters.add(name, tags, by);
     this.prometheus.count(name, tags, by);
-    this.#statsdClient?.increment(name, by, {...tags});
+    this.#options.sink?.count(name, tags, by);
   }
 
   /** Records one duration in a histogram, in ms. */
   observe(name: string, tags: Readonly<Record<string, string>>, valueMs: number): void {
     this.prometheus.observe(name, tags, valueMs);
-    this.#statsdClient?.timing(name, valueMs, {...tags});
+    this.#options.sink?.observe(name, tags, valueMs);
   }
 
-  /** Closes the socket to the collector. */
+  /** Releases the further receiver. */
   async stop(): Promise<void> {
-    const client = this.#statsdClient;
-    if (client === undefined) {
-      return;
-    }
-    await new Promise<void>((resolve) => {
-      client.close(() => {
-        resolve();
-      });
-    });
+    await this.#options.sink?.stop();
   }
 }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,4 +1,4 @@
-// Bundles the command-line interface with all packages that it uses into one file.
+// Bundles a program with all packages that it uses into one file.
 import {build} from 'esbuild';
 
 /**
@@ -16,10 +16,20 @@
   },
 };
 
-/** Writes the bundle to `outFile`; a minified bundle makes the process start faster. */
-export async function bundle({outFile, minify = false}) {
+/** esbuild plugin that leaves out the texts of the schema library in other languages: a third of the bundle. */
+const withoutTranslations = {
+  name: 'without-translations',
+  setup(pluginBuild) {
+    pluginBuild.onLoad({filter: /zod\/v4\/locales\/index\.js$/}, () => ({
+      contents: "export {default as en} from './en.js';",
+    }));
+  },
+};
+
+/** Writes the bundle of `entry` to `outFile`; a minified bundle makes the process start faster. */
+export async function bundle({outFile, entry = 'packages/cli/src/main.ts', minify = false}) {
   await build({
-    entryPoints: ['packages/cli/src/main.ts'],
+    entryPoints: [entry],
     bundle: true,
     platform: 'node',
     target: 'node20',
@@ -27,7 +37,7 @@
     outfile: outFile,
     minify,
     keepNames: true,
-    plugins: [withoutNativeAddOns],
+    plugins: [withoutNativeAddOns, withoutTranslations],
     logLevel: 'warning',
   });
 }
--- a/scripts/startFromCache.cjs
+++ b/scripts/startFromCache.cjs
@@ -2,7 +2,6 @@
 const {readFileSync} = require('node:fs');
 const Module = require('node:module');
 const path = require('node:path');
-const {setFlagsFromString} = require('node:v8');
 const {Script} = require('node:vm');
 
 const filename = path.join(__dirname, 'app.cjs');
@@ -20,9 +19,6 @@
   filename,
   cachedData: readCache(),
 });
-// Limits the old-generation heap to 120 MB. The flag is set here because V8 rejects the code cache where it is set on
-// the command line.
-setFlagsFromString('--max-old-space-size=120');
 const app = new Module(filename);
 app.filename = filename;
 script.runInThisContext()(app.exports, require, app, filename, __dirname);
