Customers' buckets fill with what a window allows

Change: the bucket holds one burst and fills with rate times window plus burst in each window; a restarted home releases accordingly.

--- a/packages/core/src/quota/customerWindow.ts
+++ b/packages/core/src/quota/customerWindow.ts
@@ -13,6 +13,14 @@
 /** Least size of a bucket, as the time in which the rate fills it, in ms: requests arrive unevenly. */
 const minBucketFillMs = 1_000;
 
+/** Requests that a customer may send in any window: its rate times the window, plus its burst. */
+export function requestsPerWindow(
+  {ratePerSecond, burstRequests}: Customer,
+  windowMs: number,
+): number {
+  return (ratePerSecond * windowMs) / 1_000 + burstRequests;
+}
+
 /** Size of a customer's bucket in requests. */
 export function bucketSize({ratePerSecond, burstRequests}: Customer): number {
   return Math.max(burstRequests, (ratePerSecond * minBucketFillMs) / 1_000);
@@ -22,9 +30,8 @@
  * Rate limiter for the requests of one customer, as counted by the customer's home: a sliding window together
  * with a token bucket.
  *
- * In any window a customer may send its rate times the window, plus its burst. The time of each admitted
- * request is stored for as long as it counts; there are never more of them than the window allows. The bucket
- * spreads them over the window.
+ * The time of each admitted request is stored for as long as it counts; there are never more of them than a
+ * window allows. The bucket, which fills with as much in each window, spreads them over it.
  *
  * Load pattern: a customer sends many times its rate for seconds. Without the bucket it would send all that a
  * window allows to the servers at once, and then nothing until the window has passed.
@@ -75,12 +82,11 @@
   /** Admits a request and returns 0, or returns the time until the next request can be admitted, in ms. */
   tryAdmit(customer: Customer, share: CustomerShare, nowMs: number): number {
     const {fleetShare, slack} = share;
-    const {ratePerSecond, burstRequests} = customer;
     const bucketWaitMs = this.#bucketWaitMs(customer, share, nowMs);
     if (bucketWaitMs > 0) {
       return bucketWaitMs;
     }
-    const allowed = ((ratePerSecond * this.#windowMs) / 1_000 + burstRequests) * fleetShare + slack;
+    const allowed = requestsPerWindow(customer, this.#windowMs) * fleetShare + slack;
     while ((this.#admittedAtMs[0] ?? nowMs) <= nowMs - this.#windowMs) {
       this.#admittedAtMs.shift();
     }
@@ -96,7 +102,7 @@
 
   /** Time until the bucket holds one request, in ms; 0 where it does. */
   #bucketWaitMs(customer: Customer, {bucketShare, slack}: CustomerShare, nowMs: number): number {
-    const perMs = (customer.ratePerSecond * bucketShare) / 1_000;
+    const perMs = (requestsPerWindow(customer, this.#windowMs) * bucketShare) / this.#windowMs;
     this.#bucketUsed = Math.max(0, this.#bucketUsed - perMs * (nowMs - this.#bucketAtMs));
     this.#bucketAtMs = nowMs;
     const size = Math.max(1, bucketSize(customer) * bucketShare + slack);
--- a/packages/core/src/quota/quotaHomeTask.ts
+++ b/packages/core/src/quota/quotaHomeTask.ts
@@ -8,7 +8,7 @@
 import type {PeerMessage} from '../messages/peerMessages.ts';
 import type {HashFunction} from '../hash/hashFunction.ts';
 import {customerHomeKey} from './customerHomeKey.ts';
-import {CustomerWindow, bucketSize} from './customerWindow.ts';
+import {CustomerWindow, bucketSize, requestsPerWindow} from './customerWindow.ts';
 import type {CustomerShare} from './customerWindow.ts';
 
 /** Options of the task that counts the requests of customers as their home. */
@@ -45,6 +45,8 @@
  * do not know all others yet.
  */
 const usedOvershoot = 0.9;
+/** Least time for which a process that ended is down before its successor admits requests, in ms. */
+const minDowntimeMs = 400;
 /**
  * Most requests that one reported request may count for, where most of the fleet died with the former home.
  */
@@ -190,16 +192,14 @@
    * Share of a customer's rate and burst that a home hands out within a window after its process started.
    *
    * Load pattern: all hosts lose power together, with everything that they had counted, and customers go on
-   * sending. A customer may have used its whole rate until then. As buckets spread what was admitted before,
-   * it leaves the sliding window at the rate, and this home hands out as much, in addition to the overshoot.
+   * sending. A customer may have used all that a window allows until then. As its bucket spread that, all but
+   * the size of the bucket leaves the sliding window evenly, and this home hands out as much, in addition to the
+   * overshoot.
    */
   #restartedShare(customer: Customer, ageMs: number): number {
     const {rateOvershoot, rateWindowMs} = this.#options.bounds;
-    const {ratePerSecond, burstRequests} = customer;
-    const allowed = (ratePerSecond * rateWindowMs) / 1_000 + burstRequests;
-    const leftWindow = (ratePerSecond * ageMs) / 1_000;
-    const beyondBurst = bucketSize(customer) - burstRequests;
-    const share = rateOvershoot * usedOvershoot + (leftWindow - beyondBurst) / allowed;
-    return Math.max(0, Math.min(1, share));
+    const bucketShare = bucketSize(customer) / requestsPerWindow(customer, rateWindowMs);
+    const leftWindow = (ageMs + minDowntimeMs) / rateWindowMs;
+    return Math.min(1, rateOvershoot * usedOvershoot + Math.max(0, leftWindow - bucketShare));
   }
 }
