Placement: first requests to servers that join, a floor of servers in use, new connections after silence

Change: NewServerPolicy gives a server that joined one request once it is warm, FloorPolicy uses healthy servers without a recent start while more than 7 % are not served (failed, turned away or overdue), both with their load pattern; a request that must run once uses a new connection while a server is or was in the last 3 s silent to its host, as the paths to others may be cut too; figures over all servers are computed once in 5 ms.

--- a/packages/bench/src/__tests__/grayFailurePlacement.test.ts
+++ b/packages/bench/src/__tests__/grayFailurePlacement.test.ts
@@ -228,3 +228,79 @@
     }
   });
 });
+
+describe('placement while servers join or many requests fail', () => {
+  before(async () => {
+    hash = await loadXxHash();
+  });
+
+  it('sends requests to a server that joins within two seconds, where no request may be retried', () => {
+    for (const seed of [41, 42, 43]) {
+      const fleet = createGrayFailureFleet(hash, {
+        seed,
+        backends: [{id: 'core', servers: 17}],
+        errorShare: 0,
+      });
+      fleet.queue.runUntil(startupMs);
+      sendRandomLoad(fleet, {forMs: 10_000, perSecond: 12, mix: {payment: 1}});
+      fleet.queue.runUntil(startupMs + 5_000);
+      const server = fleet.addServer('core');
+      fleet.queue.runUntil(startupMs + 7_000);
+      expect(fleet.attemptTimesMs.get(server.id) ?? [], `seed ${seed}`).to.not.have.length(0);
+    }
+  });
+
+  /** Length of the windows in which operators evaluate the floor, in ms. */
+  const floorWindowMs = 2_000;
+  /** Time for which a server must have been healthy to count, in ms. */
+  const healthyForMs = 2_000;
+  /** Least share of the healthy servers that receive requests while many fail. */
+  const floorShare = 0.7;
+
+  /** Number of windows in which too few of the servers that had been healthy for a while received requests. */
+  function countWindowsBelowFloor(seed: number): {below: number; relevant: number} {
+    const backends = [{id: 'core', servers: 17}];
+    const fleet = createGrayFailureFleet(hash, {seed, backends});
+    fleet.queue.runUntil(startupMs);
+    scheduleFailureCycles(fleet, {mode: 'silent', share: 0.3, cycleMs: 9_000, seed});
+    for (const server of fleet.servers.values()) {
+      server.affectedShare = 0.75;
+    }
+    sendRandomLoad(fleet, {forMs: 20_000, perSecond: 41, mix: {payment: 1}});
+    const healthyIds: {atMs: number; ids: Set<string>}[] = [];
+    for (let atMs = startupMs; atMs < startupMs + 22_000; atMs += 100) {
+      fleet.queue.runUntil(atMs);
+      const healthy = [...fleet.servers.values()].filter(({mode}) => mode === 'healthy');
+      healthyIds.push({atMs, ids: new Set(healthy.map(({id}) => id))});
+    }
+    let below = 0;
+    let relevant = 0;
+    for (let fromMs = startupMs + 1_000; fromMs < startupMs + 18_000; fromMs += 500) {
+      const isInWindow = (atMs: number): boolean => atMs >= fromMs && atMs < fromMs + floorWindowMs;
+      const samples = healthyIds.filter(
+        ({atMs}) => atMs >= fromMs - healthyForMs && atMs < fromMs + floorWindowMs,
+      );
+      const sound = [...fleet.servers.keys()].filter((id) => samples.every(({ids}) => ids.has(id)));
+      const sent = fleet.outcomes.filter(({arrivedAtMs}) => isInWindow(arrivedAtMs));
+      const unserved = sent.filter(({status}) => status !== 200).length / sent.length;
+      if (unserved > 0.1 && unserved < 0.5 && sound.length >= 4) {
+        const used = sound.filter((id) => fleet.attemptTimesMs.get(id)?.some(isInWindow));
+        relevant += 1;
+        below += used.length / sound.length < floorShare ? 1 : 0;
+      }
+    }
+    return {below, relevant};
+  }
+
+  it('keeps most of the healthy servers in use while a tenth to a half of the payments fail', () => {
+    let below = 0;
+    let relevant = 0;
+    for (const seed of [51, 52, 53, 54, 55, 56]) {
+      const windows = countWindowsBelowFloor(seed);
+      below += windows.below;
+      relevant += windows.relevant;
+    }
+    expect(relevant).to.be.above(50);
+    expect(below).to.equal(0);
+  });
+});
--- a/packages/bench/src/gray-failure/grayFailureFleet.ts
+++ b/packages/bench/src/gray-failure/grayFailureFleet.ts
@@ -277,28 +277,48 @@
     return `${hostId}/${requestId}`;
   }
 
+  /** Adds a server of a backend while the fleet runs, and registers it. */
+  addServer(backendId: string): GrayFailureServer {
+    const number = [...this.servers.values()].filter(
+      (server) => server.backendId === backendId,
+    ).length;
+    const server = this.#createServer(backendId, number);
+    this.publish([
+      {
+        kind: 'server',
+        server: {...this.registryEntryOf(server), revision: this.#revision + 1},
+      },
+    ]);
+    return server;
+  }
+
   #createServers(): void {
-    const {backends, dataCentres, seed, errorShare} = this.#options;
-    for (const backend of backends) {
-      for (let number = 0; number < backend.servers; number += 1) {
-        const server = new GrayFailureServer({
-          id: `${backend.id}-${number}`,
-          dataCentre: dataCentres[number % dataCentres.length] ?? '',
-          backendId: backend.id,
-          slots: slotsPerServer,
-          maxWaiting,
-          random: new SeededRandom(seed * 77 + number),
-          errorShare,
-          runAfter: (afterMs, run) => {
-            this.after(afterMs, run);
-          },
-        });
-        this.servers.set(server.id, server);
+    for (const {id, servers} of this.#options.backends) {
+      for (let number = 0; number < servers; number += 1) {
+        const server = this.#createServer(id, number);
         this.#publishedChanges.push({kind: 'server', server: this.registryEntryOf(server)});
       }
     }
   }
 
+  #createServer(backendId: string, number: number): GrayFailureServer {
+    const {dataCentres, seed, errorShare} = this.#options;
+    const server = new GrayFailureServer({
+      id: `${backendId}-${number}`,
+      dataCentre: dataCentres[number % dataCentres.length] ?? '',
+      backendId,
+      slots: slotsPerServer,
+      maxWaiting,
+      random: new SeededRandom(seed * 77 + number),
+      errorShare,
+      runAfter: (afterMs, run) => {
+        this.after(afterMs, run);
+      },
+    });
+    this.servers.set(server.id, server);
+    return server;
+  }
+
   #dispatch(host: SimulatedHost, effect: HostEffect): void {
     switch (effect.type) {
       case 'sendToPeer':
--- a/packages/core/src/__tests__/placement.test.ts
+++ b/packages/core/src/__tests__/placement.test.ts
@@ -4,6 +4,8 @@
 import {RetryWindow} from '../placement/retryWindow.ts';
 import {ServerRisk} from '../placement/serverRisk.ts';
 import {LowestRiskPolicy} from '../placement/lowestRiskPolicy.ts';
+import {FloorPolicy} from '../placement/floorPolicy.ts';
+import {NewServerPolicy} from '../placement/newServerPolicy.ts';
 import {TrialPolicy} from '../placement/trialPolicy.ts';
 import {PlacementQueue} from '../placement/placementQueue.ts';
 import {DurationHistogram} from '../placement/durationHistogram.ts';
@@ -24,6 +26,7 @@
     lastStartMs: 0,
     isConnected: false,
     isLocal: false,
+    newForMs: undefined,
     ...fields,
   };
 }
@@ -34,6 +37,9 @@
   failedShare: 0,
   hasSpareRetries: true,
   bodyBytes: 0,
+  isRepeatable: true,
+  unservedShare: 0,
+  usedHealthyShare: () => 1,
 };
 
 describe('ServerRisk', () => {
@@ -150,6 +156,43 @@
   });
 });
 
+describe('NewServerPolicy', () => {
+  const policy = new NewServerPolicy();
+
+  it('sends a retryable request to a new server at once, and any other after a while', () => {
+    const candidates = [candidate('proven', {}), candidate('new', {newForMs: 10, risk: 0.25})];
+    expect(policy.select(candidates, context)?.serverId).to.equal('new');
+    expect(policy.select(candidates, {...context, isRepeatable: false})).to.equal(undefined);
+    const later = [candidate('proven', {}), candidate('new', {newForMs: 900, risk: 0.25})];
+    expect(policy.select(later, {...context, isRepeatable: false})?.serverId).to.equal('new');
+  });
+
+  it('selects nothing while no server is new', () => {
+    expect(policy.select([candidate('proven', {})], context)).to.equal(undefined);
+  });
+});
+
+describe('FloorPolicy', () => {
+  const policy = new FloorPolicy();
+  const candidates = [
+    candidate('proven', {lastStartMs: 9_900}),
+    candidate('unknown', {risk: 0.25, lastStartMs: 8_000}),
+    candidate('suspect', {risk: 0.8, lastStartMs: 1_000}),
+  ];
+
+  it('selects a healthy server without a recent start while requests fail and few servers are used', () => {
+    const failing = {...context, unservedShare: 0.12, usedHealthyShare: () => 0.5};
+    expect(policy.select(candidates, failing)?.serverId).to.equal('unknown');
+  });
+
+  it('selects nothing while requests are served, or while enough healthy servers are used', () => {
+    const served = {...context, unservedShare: 0.02, usedHealthyShare: () => 0.2};
+    expect(policy.select(candidates, served)).to.equal(undefined);
+    const used = {...context, unservedShare: 0.12, usedHealthyShare: () => 0.9};
+    expect(policy.select(candidates, used)).to.equal(undefined);
+  });
+});
+
 describe('statistics of a home', () => {
   it('estimates the durations of a route from its samples', () => {
     const times = new DurationHistogram(250);
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -6,10 +6,13 @@
 import {PoisonRequestDetector} from './poisonRequestDetector.ts';
 import {QueueAdmission} from './queueAdmission.ts';
 import type {ExpiredQuery} from './queueAdmission.ts';
+import {FloorPolicy, healthyBelowRisk, unusedAfterMs} from './floorPolicy.ts';
+import {NewServerPolicy} from './newServerPolicy.ts';
 import {RecentOutcomes} from './recentOutcomes.ts';
-import type {EntryHost, PlacementDecision} from './placementDecision.ts';
+import type {EntryHost, GrantedPlacement, PlacementDecision} from './placementDecision.ts';
 import type {PlacementCandidate, PlacementPolicy, PlacementContext} from './placementPolicy.ts';
 import {SuspectPaths} from './suspectPaths.ts';
+import {RecentFigure} from './recentFigure.ts';
 import {RetryWindow} from './retryWindow.ts';
 import {isNoServerUsable, isRiskAccepted} from './riskAcceptance.ts';
 import {RouteDurations} from './routeDurations.ts';
@@ -43,7 +46,9 @@
 /** Time for which a server gets no attempts after another server answered at its address, in ms. */
 const misdirectedAvoidanceMs = 5_000;
 /** Risk below which a server's slots count when estimating how long requests wait. */
-const healthyBelowRisk = 0.5;
+const usableBelowRisk = 0.5;
+/** Time for which figures over all servers or attempts are used again, in ms. */
+const surveyValidityMs = 5;
 
 /** The backend and the fleet-wide bounds that its home enforces. */
 export interface BackendHomeOptions {
@@ -59,6 +64,8 @@
   readonly #options: BackendHomeOptions;
   readonly #lowestRiskPolicy: PlacementPolicy = new LowestRiskPolicy();
   readonly #trialPolicy: PlacementPolicy = new TrialPolicy();
+  readonly #newServerPolicy: PlacementPolicy = new NewServerPolicy();
+  readonly #floorPolicy: PlacementPolicy = new FloorPolicy();
   readonly #risks = new Map<string, ServerRisk>();
   /** Running attempts by `hostId/askId`, the key of the query that was granted. */
   readonly #attempts = new Map<string, PlacedAttempt>();
@@ -74,10 +81,21 @@
   #lapsedIds: ReadonlySet<string> = new Set();
   #backend: Backend | undefined;
   #fleetShare = 1;
+  /** Servers that joined after the first list and have had no attempt, with the moment at which they are warm. */
+  readonly #newServersWarmAtMs = new Map<string, number>();
+  #hasServerList = false;
+  readonly #bestRisk: RecentFigure;
+  readonly #unservedShare: RecentFigure;
+  /** Hosts with an overdue attempt, as of the newest `#unservedShare`. */
+  readonly #overdueHostIds = new Set<string>();
 
   constructor(options: BackendHomeOptions) {
     this.#options = options;
     const {retryRatio, retryWindowMs, retrySlack} = options.bounds;
+    this.#bestRisk = new RecentFigure(surveyValidityMs, (nowMs) => this.#computeBestRisk(nowMs));
+    this.#unservedShare = new RecentFigure(surveyValidityMs, (nowMs) =>
+      this.#recentOutcomes.unservedShare(this.#countOverdue(nowMs)),
+    );
     this.#retries = new RetryWindow({
       ratio: retryRatio,
       windowMs: retryWindowMs,
@@ -106,11 +124,13 @@
   ): void {
     const {backendId} = this.#options;
     this.#lapsedIds = new Set(lapsedServerIds);
+    const knownIds = new Set(this.#servers.map(({id}) => id));
     const own = servers.filter((server) => server.backendId === backendId);
     this.#servers = own.filter(
       ({state, dataCentre}) => state === 'in-service' && !outOfService.includes(dataCentre),
     );
     const ownIds = new Set(own.map(({id}) => id));
+    this.#recordJoined(knownIds, nowMs);
     for (const [serverId, serverRisk] of this.#risks) {
       if (!ownIds.has(serverId) && serverRisk.running.size === 0) {
         this.#risks.delete(serverId);
@@ -125,6 +145,22 @@
     this.#coldUntilMs = new Map(own.map(({id, coldForMs}) => [id, nowMs + coldForMs]));
   }
 
+  /** Notes which servers in service joined since the former list. */
+  #recordJoined(knownIds: ReadonlySet<string>, nowMs: number): void {
+    const inServiceIds = new Set(this.#servers.map(({id}) => id));
+    for (const serverId of this.#newServersWarmAtMs.keys()) {
+      if (!inServiceIds.has(serverId)) {
+        this.#newServersWarmAtMs.delete(serverId);
+      }
+    }
+    for (const {id, coldForMs} of this.#servers) {
+      if (this.#hasServerList && !knownIds.has(id) && !this.#risks.has(id)) {
+        this.#newServersWarmAtMs.set(id, nowMs + coldForMs);
+      }
+    }
+    this.#hasServerList ||= this.#servers.length > 0;
+  }
+
   /** Number of servers in service, for logs and status. */
   get serverCount(): number {
     return this.#servers.length;
@@ -175,11 +211,17 @@
     const context = this.#context(query, nowMs);
     const isNontrivial = !this.#durations.isTrivial(this.#durations.medianMs(query.routeId));
     const isTrialAllowed = query.isRepeatable && !query.isRepeat && isNontrivial;
-    const trialCandidate = isTrialAllowed
-      ? this.#trialPolicy.select(candidates, context)
-      : undefined;
-    if (trialCandidate !== undefined) {
-      return this.#grant(key, query, entryHost, trialCandidate, nowMs);
+    const preferred =
+      (isTrialAllowed ? this.#trialPolicy.select(candidates, context) : undefined) ??
+      (query.isRepeat ? undefined : this.#newServerPolicy.select(candidates, context));
+    if (preferred !== undefined) {
+      return this.#grant(key, query, entryHost, preferred, nowMs);
+    }
+    const unused = this.#floorPolicy.select(candidates, context);
+    if (unused !== undefined && !this.#isPathUncertain(entryHost.hostId, unused.serverId, nowMs)) {
+      // The host may not have used its path to the server for long: a new connection shows whether it works.
+      const decision = this.#grant(key, query, entryHost, unused, nowMs);
+      return {...decision, needsNewConnection: !query.isRepeatable};
     }
     const chosen = this.#lowestRiskPolicy.select(candidates, context);
     return chosen !== undefined && this.#isAccepted(chosen, query, arrivedAtMs, nowMs)
@@ -187,6 +229,18 @@
       : undefined;
   }
 
+  /**
+   * True where the path from a host to a server may be cut: a server is or was lately silent to the host, or
+   * was silent to it while it answered others.
+   */
+  #isPathUncertain(hostId: string, serverId: string, nowMs: number): boolean {
+    return (
+      this.#overdueHostIds.has(hostId) ||
+      this.#suspectPaths.hadRecentSilence(hostId, nowMs) ||
+      this.#suspectPaths.isSuspect(hostId, serverId, nowMs)
+    );
+  }
+
   /** True where the attempt should start on this server rather than wait for another one. */
   #isAccepted(
     {risk, lastStartMs}: PlacementCandidate,
@@ -200,12 +254,12 @@
       ? 1
       : (nowMs - arrivedAtMs) / this.#durations.maxWaitInTargetMs(routeId, leftMs);
     const sinceLastStartMs = nowMs - lastStartMs;
-    const bestRisk = this.#bestRisk(nowMs);
+    const bestRisk = this.#bestRisk.at(nowMs);
     return isRiskAccepted({risk, sinceLastStartMs, bestRisk, isRepeatable, waitedShare});
   }
 
   /** Lowest risk among the servers in service, with or without a free slot. */
-  #bestRisk(nowMs: number): number {
+  #computeBestRisk(nowMs: number): number {
     let best = 1;
     for (const {id} of this.#servers) {
       best = Math.min(best, this.#riskOf(id).risk(nowMs, this.#durations.shareAbove));
@@ -213,6 +267,33 @@
     return best;
   }
 
+  /** Number of running attempts that nearly all responses on their route are faster than. */
+  #countOverdue(nowMs: number): number {
+    this.#overdueHostIds.clear();
+    let count = 0;
+    for (const attempt of this.#attempts.values()) {
+      if (this.#isLate(attempt, nowMs)) {
+        this.#overdueHostIds.add(attempt.hostId);
+        count += 1;
+      }
+    }
+    return count;
+  }
+
+  /** Share of the healthy servers on which an attempt started recently. */
+  #usedHealthyShare(nowMs: number): number {
+    let healthy = 0;
+    let used = 0;
+    for (const {id} of this.#servers) {
+      const serverRisk = this.#riskOf(id);
+      if (serverRisk.risk(nowMs, this.#durations.shareAbove) < healthyBelowRisk) {
+        healthy += 1;
+        used += nowMs - serverRisk.lastStartMs < unusedAfterMs ? 1 : 0;
+      }
+    }
+    return healthy === 0 ? 1 : used / healthy;
+  }
+
   /** Records the end of an attempt; returns false where the attempt is unknown here. */
   finishAttempt(key: string, outcome: AttemptOutcome, ranForMs: number, nowMs: number): boolean {
     const attempt = this.#attempts.get(key);
@@ -225,6 +306,7 @@
     serverRisk.running.delete(key);
     if (outcome === 'cancelled' && ranForMs === 0) {
       serverRisk.cancelStart(attempt.startedAtMs);
+      this.#recentOutcomes.recordTurnedAway(nowMs);
       return true;
     }
     this.#recordOutcome(serverId, attempt, outcome, ranForMs, nowMs);
@@ -305,13 +387,14 @@
     {hostId}: EntryHost,
     {serverId, risk}: PlacementCandidate,
     nowMs: number,
-  ): PlacementDecision {
+  ): GrantedPlacement {
     const {routeId, requestDigest} = query;
     const serverRisk = this.#riskOf(serverId);
     const provenAgoMs = nowMs - serverRisk.lastSuccessStartMs;
     const attempt: PlacedAttempt = {hostId, routeId, startedAtMs: nowMs, serverId, requestDigest};
     this.#attempts.set(key, attempt);
     serverRisk.start(key, attempt);
+    this.#newServersWarmAtMs.delete(serverId);
     this.admission.recordGrant(query, nowMs);
     if (query.isRepeat) {
       this.#retries.recordRetry(nowMs);
@@ -322,14 +405,13 @@
       risk,
       provenAgoMs,
       secondAfterMs: this.#durations.secondAfterMs(routeId, risk),
-      needsNewConnection:
-        !query.isRepeatable && this.#suspectPaths.isSuspect(hostId, serverId, nowMs),
+      needsNewConnection: !query.isRepeatable && this.#isPathUncertain(hostId, serverId, nowMs),
     };
   }
 
   /** Queues a query that found no server; refuses it where no server is usable or no time is left to wait. */
   #enqueue(key: string, query: PlaceAsk, entryHost: EntryHost, nowMs: number): PlacementDecision {
-    if (isNoServerUsable(this.#bestRisk(nowMs))) {
+    if (isNoServerUsable(this.#bestRisk.at(nowMs))) {
       return {state: 'refused', kind: 'no-server', retryAfterMs: unusableRetryMs};
     }
     const {routeId, leftMs} = query;
@@ -349,7 +431,7 @@
     let slots = 0;
     for (const server of this.#servers) {
       const risk = this.#riskOf(server.id).risk(nowMs, this.#durations.shareAbove);
-      slots += risk < healthyBelowRisk ? server.slots : 0;
+      slots += risk < usableBelowRisk ? server.slots : 0;
     }
     return Math.max(1, slots);
   }
@@ -362,6 +444,7 @@
     {hostId, dataCentre}: EntryHost,
     nowMs: number,
   ): PlacementCandidate[] {
+    const connectedIds = new Set(query.connectedIds);
     const usableCandidates: PlacementCandidate[] = [];
     const lapsedCandidates: PlacementCandidate[] = [];
     for (const server of this.#servers) {
@@ -375,22 +458,28 @@
       if (isExcluded) {
         continue;
       }
+      const isPathSuspect = this.#suspectPaths.isSuspect(hostId, server.id, nowMs);
       const candidate: PlacementCandidate = {
         serverId: server.id,
         risk: serverRisk.risk(nowMs, this.#durations.shareAbove),
         running: serverRisk.running.size,
         recentStarts: serverRisk.recentStarts(nowMs),
         lastStartMs: serverRisk.lastStartMs,
-        isConnected:
-          query.connectedIds.includes(server.id) &&
-          !this.#suspectPaths.isSuspect(hostId, server.id, nowMs),
+        isConnected: connectedIds.has(server.id) && !isPathSuspect,
         isLocal: server.dataCentre === dataCentre,
+        newForMs: this.#newForMs(server.id, nowMs),
       };
       (this.#lapsedIds.has(server.id) ? lapsedCandidates : usableCandidates).push(candidate);
     }
     return usableCandidates.length > 0 ? usableCandidates : lapsedCandidates;
   }
 
+  /** Time since a new server became warm, in ms; undefined while it is cold and for all other servers. */
+  #newForMs(serverId: string, nowMs: number): number | undefined {
+    const warmAtMs = this.#newServersWarmAtMs.get(serverId);
+    return warmAtMs === undefined || warmAtMs > nowMs ? undefined : nowMs - warmAtMs;
+  }
+
   /** Attempts that may start on a server in one second. */
   #startsPerSecond(serverId: string, nowMs: number): number {
     const rate = this.#backend?.coldRequestsPerSecond;
@@ -403,10 +492,13 @@
     return Math.max(1, Math.floor(bound * this.#fleetShare));
   }
 
-  #context({bodyBytes}: PlaceAsk, nowMs: number): PlacementContext {
+  #context({bodyBytes, isRepeatable}: PlaceAsk, nowMs: number): PlacementContext {
     return {
       nowMs,
       bodyBytes,
+      isRepeatable,
+      unservedShare: this.#unservedShare.at(nowMs),
+      usedHealthyShare: () => this.#usedHealthyShare(nowMs),
       serverCount: this.#servers.length,
       failedShare: this.#recentOutcomes.failed,
       hasSpareRetries: this.#retries.usedShare(nowMs) < maxRetryUseForTrials,
--- a/packages/core/src/placement/placementDecision.ts
+++ b/packages/core/src/placement/placementDecision.ts
@@ -1,19 +1,22 @@
 import type {ErrorKind} from '../errors/errorKinds.ts';
 
+/** A server on which an attempt may run. */
+export interface GrantedPlacement {
+  readonly state: 'granted';
+  readonly serverId: string;
+  /** Estimated probability that the attempt fails, 0 to 1. */
+  readonly risk: number;
+  /** Time after which an unanswered attempt is late enough to start a hedged one, in ms. */
+  readonly secondAfterMs: number;
+  /** Time since the start of the last successful attempt on the server, in ms; infinite for none. */
+  readonly provenAgoMs: number;
+  /** True where the attempt has to use a new connection, as the path from the host to the server is uncertain. */
+  readonly needsNewConnection: boolean;
+}
+
 /** What the home of a backend decided for a placement query: run on a server, wait, or be refused. */
 export type PlacementDecision =
-  | {
-      readonly state: 'granted';
-      readonly serverId: string;
-      /** Estimated probability that the attempt fails, 0 to 1. */
-      readonly risk: number;
-      /** Time after which an unanswered attempt is late enough to start a hedged one, in ms. */
-      readonly secondAfterMs: number;
-      /** Time since the start of the last successful attempt on the server, in ms; infinite for none. */
-      readonly provenAgoMs: number;
-      /** True where the network path from the host to the server is suspect. */
-      readonly needsNewConnection: boolean;
-    }
+  | GrantedPlacement
   | {readonly state: 'waiting'; readonly expectedWaitMs: number}
   | {readonly state: 'refused'; readonly kind: ErrorKind; readonly retryAfterMs: number};
 
--- a/packages/core/src/placement/placementPolicy.ts
+++ b/packages/core/src/placement/placementPolicy.ts
@@ -13,6 +13,11 @@
   readonly isConnected: boolean;
   /** True where the entry host and the server are in the same data centre. */
   readonly isLocal: boolean;
+  /**
+   * Time since a server that joined became warm, in ms, while it has had no attempt; undefined for all other
+   * servers.
+   */
+  readonly newForMs: number | undefined;
 }
 
 /** What a policy may consider besides the candidates. */
@@ -24,6 +29,12 @@
   readonly bodyBytes: number;
   /** Share of the backend's recent attempts that failed, 0 to 1. */
   readonly failedShare: number;
+  /** True where the attempt may be retried if it fails. */
+  readonly isRepeatable: boolean;
+  /** Share of the backend's recent requests that failed, were turned away or are overdue, 0 to 1. */
+  readonly unservedShare: number;
+  /** Share of the healthy servers on which an attempt started recently, 0 to 1; computed on demand. */
+  readonly usedHealthyShare: () => number;
   /** True where the retry budget leaves room for attempts that may fail. */
   readonly hasSpareRetries: boolean;
 }
--- a/packages/core/src/placement/recentOutcomes.ts
+++ b/packages/core/src/placement/recentOutcomes.ts
@@ -13,6 +13,8 @@
 export class RecentOutcomes {
   #failed = 0;
   #ended = 0;
+  /** Attempts that were given back unused, as their request was turned away. */
+  #turnedAway = 0;
   #atMs = 0;
 
   /** Records how an attempt ended; cancelled attempts do not count. */
@@ -20,14 +22,34 @@
     if (outcome === 'cancelled') {
       return;
     }
-    const retained = Math.exp(-(nowMs - this.#atMs) / decayMs);
-    this.#failed = this.#failed * retained + (outcome === 'ok' ? 0 : 1);
-    this.#ended = this.#ended * retained + 1;
-    this.#atMs = nowMs;
+    this.#decay(nowMs);
+    this.#failed += outcome === 'ok' ? 0 : 1;
+    this.#ended += 1;
+  }
+
+  /** Records an attempt that was given back before it ran. */
+  recordTurnedAway(nowMs: number): void {
+    this.#decay(nowMs);
+    this.#turnedAway += 1;
+  }
+
+  /** Share of the recent requests that are not served, with the given number of attempts that are overdue. */
+  unservedShare(overdueCount: number): number {
+    const unserved = this.#failed + this.#turnedAway + overdueCount;
+    const total = this.#ended + this.#turnedAway + overdueCount;
+    return total < 1 ? 0 : unserved / total;
   }
 
   /** Share of the recent attempts that failed, 0 to 1. */
   get failed(): number {
     return this.#ended < 1 ? 0 : this.#failed / this.#ended;
   }
+
+  #decay(nowMs: number): void {
+    const retained = Math.exp(-(nowMs - this.#atMs) / decayMs);
+    this.#failed *= retained;
+    this.#ended *= retained;
+    this.#turnedAway *= retained;
+    this.#atMs = nowMs;
+  }
 }
--- a/packages/core/src/placement/suspectPaths.ts
+++ b/packages/core/src/placement/suspectPaths.ts
@@ -38,6 +38,8 @@
   readonly #suspectHosts = new Map<string, SuspectHost>();
   readonly #successes = new Map<string, HostAttempt[]>();
   readonly #silentAttempts = new Map<string, HostAttempt[]>();
+  /** When a server was last found silent to each host, in ms. */
+  readonly #lastSilenceAtMsByHost = new Map<string, number>();
 
   /** Records that a server answered an attempt of a host. */
   recordSuccess(serverId: string, attempt: HostAttempt, nowMs: number): void {
@@ -51,6 +53,7 @@
   /** Records that a server was silent to an attempt of a host, or could not be reached. */
   recordSilence(serverId: string, attempt: HostAttempt, nowMs: number): void {
     this.#suspectHosts.get(attempt.hostId)?.respondingServerIds.delete(serverId);
+    this.#lastSilenceAtMsByHost.set(attempt.hostId, nowMs);
     const silentAttempts = this.#silentAttempts.get(serverId) ?? [];
     silentAttempts.push(attempt);
     this.#silentAttempts.set(serverId, silentAttempts);
@@ -74,6 +77,12 @@
     return host !== undefined && host.untilMs > nowMs && !host.respondingServerIds.has(serverId);
   }
 
+  /** True where a server was silent to a host so recently that its paths to others may be cut as well. */
+  hadRecentSilence(hostId: string, nowMs: number): boolean {
+    const lastSilenceAtMs = this.#lastSilenceAtMsByHost.get(hostId) ?? Number.NEGATIVE_INFINITY;
+    return nowMs - lastSilenceAtMs < silenceRetentionMs;
+  }
+
   /** Marks the paths of each host suspect to which the server was silent while it answered others. */
   #evaluate(serverId: string, nowMs: number): void {
     const silentAttempts = (this.#silentAttempts.get(serverId) ?? []).filter(
