--- a/packages/core/src/__tests__/decisions.test.ts
+++ b/packages/core/src/__tests__/decisions.test.ts
@@ -138,6 +138,14 @@
 });
 
 describe('error responses, retry budget and load balancing', () => {
+  it('use no status that promises "not executed" where the request may have run', () => {
+    for (const [kind, {status, outcome}] of Object.entries(responseTable)) {
+      if (outcome === 'unknown') {
+        expect([421, 429, 503], kind).to.not.include(status);
+      }
+    }
+  });
+
   it('define a response for every error kind', () => {
     for (const kind of errorKindSchema.options) {
       expect(responseTable[kind].status).to.be.within(400, 599);
--- a/packages/core/src/errors/responseTable.ts
+++ b/packages/core/src/errors/responseTable.ts
@@ -131,7 +131,7 @@
     outcome: 'unknown',
   },
   'request-crashes-servers': {
-    status: 503,
+    status: 502,
     title: 'The request made backend servers crash and is not sent again',
     outcome: 'unknown',
   },
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -277,6 +277,8 @@
   customerId: z.string().optional(),
   /** Response header by which a server states that it did not run the request. */
   notRunHeader: z.string(),
+  /** Whether the server echoes the name of the attempt in its response. */
+  mustEchoName: z.boolean().optional(),
   /** Largest body of the request, in bytes. */
   maxBodyBytes: z.number(),
   /** Whether the attempt should be sent over a new connection only. */
--- a/packages/core/src/request/startAttempt.ts
+++ b/packages/core/src/request/startAttempt.ts
@@ -22,6 +22,7 @@
     timeoutMs: request.deadlineAtMs - nowMs,
     customerId: request.customerId,
     notRunHeader: request.backend.notRunHeader,
+    mustEchoName: request.backend.echoesRequestId,
     maxBodyBytes: request.route.maxBodyBytes,
     needsNewConnection: granted.needsNewConnection,
   };
--- a/packages/document/src/documentSchema.ts
+++ b/packages/document/src/documentSchema.ts
@@ -77,6 +77,11 @@
   floor: floorSchema.prefault({}),
   /** Response header by which a server states, with any 5xx status, that it did not run the request. */
   notRunHeader: z.string().default('x-not-run'),
+  /**
+   * True if the servers echo the request id of each request in their response; a response without it, or with
+   * another, is then not passed on. Default: false.
+   */
+  echoesRequestId: z.boolean().optional(),
   /** Path that health probes request. Default: `/health`. */
   probePath: z.string().default('/health'),
   /** Slow start: time over which a server that enters service is ramped up, in ms. Default: 10,000. */
--- a/packages/document/src/settingsSchema.ts
+++ b/packages/document/src/settingsSchema.ts
@@ -67,6 +67,11 @@
     .strictObject({
       /** Time that running requests get to complete after SIGTERM, in ms. Default: 30,000. */
       graceMs: z.number().int().min(0).default(30_000),
+      /**
+       * Part of that time in which the host still serves new requests and announces on each response that the
+       * connection closes, in ms. Default: 2,000, in which a load balancer notices that the host is not ready.
+       */
+      announceMs: z.number().int().min(0).default(2_000),
     })
     .prefault({}),
   metrics: z
--- a/packages/proxy/src/__tests__/__fixtures__/singleHostFixture.ts
+++ b/packages/proxy/src/__tests__/__fixtures__/singleHostFixture.ts
@@ -108,7 +108,7 @@
       platform: {origins: ['http://127.51.0.1:8500'], watchMs: 200},
       repeats: {keepMs: 1_000},
       callers: {maxHeadBytes: 8_192},
-      shutdown: {graceMs: 10_000},
+      shutdown: {graceMs: 10_000, announceMs: 500},
     });
     const log = pino({level: 'silent'});
     this.#host = new ProxyHost({settings, log, hash: await loadXxHash(), seed: 1, bounds});
--- a/packages/proxy/src/backends/backendMessages.ts
+++ b/packages/proxy/src/backends/backendMessages.ts
@@ -17,6 +17,8 @@
   readonly body: Readable | Buffer | undefined;
   readonly timeoutMs: number;
   readonly notRunHeader: string;
+  /** True where the server echoes the name of the attempt, so that a response without it is not passed on. */
+  readonly mustEchoName: boolean | undefined;
   /** True where the network path to the server is suspect, so that only a new connection may be used. */
   readonly needsNewConnection: boolean;
 }
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -4,7 +4,7 @@
 import type {PendingResponse} from '../callers/exchange.ts';
 import {endToEndHeaders} from '../callers/headers.ts';
 import type {HttpDialect} from '../dialect/httpDialect.ts';
-import {BodyLimitError, SlowCallerError} from '../errors/hostErrors.ts';
+import {BodyLimitError, InterimResponsesError, SlowCallerError} from '../errors/hostErrors.ts';
 import {Mailbox} from '../task/mailbox.ts';
 import type {TimerService} from '../timer/timerService.ts';
 import type {BackendCommand, RunAttempt} from './backendMessages.ts';
@@ -26,18 +26,26 @@
    * typically close theirs.
    */
   readonly idleMs: number;
+  /**
+   * Time for which a connection rests after a response before it is used again, in ms, so that a second copy
+   * of the response arrives while no request waits on it. Default: 0.
+   */
+  readonly restMs: number;
   /** Responses up to this size are read completely before they are passed on, in bytes. Default: 0. */
   readonly bufferedResponseBytes: number;
   readonly postToCore: (event: HostEvent) => void;
   /** Passes a response to the caller task. */
   readonly answer: (requestId: number, answer: PendingResponse) => void;
   readonly count: (name: string, tags?: Record<string, string>) => void;
+  /** Logs a warning. */
+  readonly warn: (event: string, fields: Readonly<Record<string, unknown>>) => void;
 }
 
 export const DEFAULT_BACKEND_TASK_OPTIONS = {
   idlePerServer: 4,
   connectTimeoutMs: 1_000,
   idleMs: 4_000,
+  restMs: 0,
   bufferedResponseBytes: 0,
 } as const;
 
@@ -46,6 +54,9 @@
   keyof typeof DEFAULT_BACKEND_TASK_OPTIONS
 >;
 
+/** Interim responses (1xx) to one request above which the server counts as faulty. */
+const maxInterimResponses = 16;
+
 /** Code of a system or library error; empty where it has none. */
 function errorCode(error: unknown): string {
   return error instanceof Error && 'code' in error ? String(error.code) : '';
@@ -122,13 +133,19 @@
   #poolOf(origin: string): ServerConnectionPool {
     let pool = this.#poolByOrigin.get(origin);
     if (pool === undefined) {
-      const {idlePerServer, connectTimeoutMs, idleMs, timers} = this.#options;
+      const {idlePerServer, connectTimeoutMs, idleMs, restMs, timers} = this.#options;
       pool = new ServerConnectionPool({
         origin,
         connectTimeoutMs,
         idleMs,
+        restMs,
         maxIdle: idlePerServer,
         timers,
+        onStrayBytes: () => {
+          const serverId = this.#serverIdByOrigin.get(origin) ?? '';
+          this.#options.count('server.strayBytes', {server: serverId});
+          this.#options.warn('server.strayBytes', {serverId, origin});
+        },
       });
       this.#poolByOrigin.set(origin, pool);
     }
@@ -146,6 +163,7 @@
     const connection = pool.acquire({isNew: run.needsNewConnection});
     this.#options.count(connection.hasConnected ? 'server.reused' : 'server.connected');
     this.#reportIdleConnections();
+    let interimResponses = 0;
     try {
       const response = await connection.client.request({
         method: run.method as 'GET',
@@ -155,6 +173,12 @@
         signal: controller.signal,
         // The core enforces the timeouts of attempts; the library's timer may fire half a second early.
         headersTimeout: 0,
+        onInfo: () => {
+          interimResponses += 1;
+          if (interimResponses > maxInterimResponses) {
+            this.#failForInterimResponses(run, controller);
+          }
+        },
       });
       response.body.once('close', () => {
         this.#running.delete(attemptKey);
@@ -177,9 +201,21 @@
     }
   }
 
+  /** Ends an attempt whose server sends interim responses without end, and reports it to the core as malformed. */
+  #failForInterimResponses({requestId, attempt}: RunAttempt, controller: AbortController): void {
+    if (controller.signal.aborted) {
+      return;
+    }
+    this.#options.count('server.malformed', {reason: 'interim'});
+    controller.abort(new InterimResponsesError(`more than ${maxInterimResponses} of them`));
+    const failed = {failure: 'malformed' as const, mayHaveRun: true};
+    this.#options.postToCore({type: 'attemptFailed', requestId, attempt, ...failed});
+  }
+
   /**
    * Passes a response to the caller task and reports its status to the core. A response that echoes the name
-   * of another attempt, or that the dialect finds malformed, is dropped and reported as failed.
+   * of another attempt, or none although its server always does, or that the dialect finds malformed, is
+   * dropped and reported as failed.
    */
   async #onResponse(
     run: RunAttempt,
@@ -191,7 +227,8 @@
     const {statusCode: status, body} = response;
     const classification = dialect.classifyResponse(status, response.headers, notRunHeader);
     const echoedName = response.headers[dialect.requestNameHeader];
-    const isOfOtherAttempt = echoedName !== undefined && echoedName !== run.attemptName;
+    const isOfOtherAttempt =
+      echoedName === undefined ? run.mustEchoName === true : echoedName !== run.attemptName;
     if (isOfOtherAttempt || classification.isMalformed) {
       body.on('error', () => undefined).destroy();
       this.#options.count('server.malformed', {reason: isOfOtherAttempt ? 'foreign' : 'unsigned'});
--- a/packages/proxy/src/backends/serverConnectionPool.ts
+++ b/packages/proxy/src/backends/serverConnectionPool.ts
@@ -13,6 +13,15 @@
   readonly connectTimeoutMs: number;
   /** Time after which an idle connection is closed, in ms. */
   readonly idleMs: number;
+  /** Time for which a released connection is not used again, in ms. Default: 0. */
+  readonly restMs: number;
+  /**
+   * Time for which no connection is reused after the server sent bytes that no request asked for, in ms.
+   * Default: 5,000.
+   */
+  readonly strayBytesAvoidanceMs: number;
+  /** Called where the server sent bytes on a connection on which no request ran. Default: nothing. */
+  readonly onStrayBytes: () => void;
   /** Most idle connections that are kept open. */
   readonly maxIdle: number;
   readonly timers: TimerService;
@@ -21,6 +30,9 @@
 }
 
 export const DEFAULT_SERVER_CONNECTION_POOL_OPTIONS = {
+  restMs: 0,
+  strayBytesAvoidanceMs: 5_000,
+  onStrayBytes: (): void => undefined,
   dial: (host: string, port: number): Socket =>
     connect({host, port, noDelay: true, keepAlive: true}),
 } as const;
@@ -30,6 +42,11 @@
   keyof typeof DEFAULT_SERVER_CONNECTION_POOL_OPTIONS
 >;
 
+/** True for the error by which the HTTP parser refused bytes. */
+function isParseError(error: NodeJS.ErrnoException): boolean {
+  return error.code?.startsWith('HPE_') === true;
+}
+
 /** Port of an origin that names none. */
 const defaultPort = 80;
 
@@ -55,6 +72,7 @@
   readonly #options: ServerConnectionPoolOptions;
   readonly #idle: ServerConnection[] = [];
   readonly #all = new Set<ServerConnection>();
+  #noReuseUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: Partial<ServerConnectionPoolOptions> & RequiredServerConnectionPoolOptions) {
     this.#options = {...DEFAULT_SERVER_CONNECTION_POOL_OPTIONS, ...options};
@@ -80,12 +98,28 @@
   /** Returns a connection to the pool after a complete response. */
   release(connection: ServerConnection): void {
     connection.isBusy = false;
-    const isClosed = connection.client.closed || connection.client.destroyed;
-    if (isClosed || !this.#all.has(connection) || this.#idle.length >= this.#options.maxIdle) {
+    const {maxIdle, restMs, timers} = this.#options;
+    const isReusable = timers.nowMs() >= this.#noReuseUntilMs;
+    if (!isReusable || !this.#isOpen(connection) || this.#idle.length >= maxIdle) {
       this.discard(connection);
       return;
     }
-    this.#idle.push(connection);
+    if (restMs === 0) {
+      this.#idle.push(connection);
+      return;
+    }
+    timers.at(timers.nowMs() + restMs, () => {
+      if (this.#isOpen(connection) && this.#idle.length < maxIdle) {
+        this.#idle.push(connection);
+        return;
+      }
+      this.discard(connection);
+    });
+  }
+
+  #isOpen(connection: ServerConnection): boolean {
+    const {closed, destroyed} = connection.client;
+    return !closed && !destroyed && this.#all.has(connection);
   }
 
   /** Closes a connection at once and aborts the request that runs on it. */
@@ -124,8 +158,11 @@
     client.on('connect', () => {
       connection.hasConnected = true;
     });
-    client.on('disconnect', () => {
+    client.on('disconnect', (_origin, _targets, error: NodeJS.ErrnoException) => {
       this.#remove(connection);
+      if (!connection.isBusy && connection.hasConnected && isParseError(error)) {
+        this.#onStrayBytes();
+      }
       if (!connection.isBusy) {
         void client.destroy();
       }
@@ -134,6 +171,16 @@
     return connection;
   }
 
+  /** Closes the idle connections and reuses none for a while: the server may have sent bytes on each of them. */
+  #onStrayBytes(): void {
+    const {timers, strayBytesAvoidanceMs, onStrayBytes} = this.#options;
+    this.#noReuseUntilMs = timers.nowMs() + strayBytesAvoidanceMs;
+    for (const connection of [...this.#idle]) {
+      this.discard(connection);
+    }
+    onStrayBytes();
+  }
+
   /** Opens a socket within the timeout; the client library's own connect timer may fire most of a second late. */
   #open(
     {hostname, port}: buildConnector.Options,
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -291,6 +291,7 @@
       body: body instanceof Buffer && body.length === 0 ? undefined : body,
       timeoutMs: command.timeoutMs,
       notRunHeader: command.notRunHeader,
+      mustEchoName: command.mustEchoName,
       needsNewConnection: command.needsNewConnection,
     });
   }
--- a/packages/proxy/src/errors/hostErrors.ts
+++ b/packages/proxy/src/errors/hostErrors.ts
@@ -15,5 +15,8 @@
 /** The connection to a backend server broke before the response was complete. */
 export const BrokenAnswerError = HostError.subclass('BrokenAnswerError');
 
+/** A backend server sent more interim responses than any request needs. */
+export const InterimResponsesError = HostError.subclass('InterimResponsesError');
+
 /** A connection to a backend server was not established in time. */
 export const ConnectTimeoutError = HostError.subclass('ConnectTimeoutError');
--- a/packages/proxy/src/host/gossipHost.ts
+++ b/packages/proxy/src/host/gossipHost.ts
@@ -137,6 +137,9 @@
       timers,
       postToCore,
       count,
+      warn: (event, fields) => {
+        this.#log.write('warn', event, fields);
+      },
       bufferedResponseBytes,
       connectTimeoutMs,
       idleMs,
--- a/packages/proxy/src/host/proxyHost.ts
+++ b/packages/proxy/src/host/proxyHost.ts
@@ -28,6 +28,11 @@
   readonly seed: number;
 }
 
+/**
+ * Time for which a connection to a server rests after a response, in ms: a second copy of the response shows
+ * within it, where the server does not echo request ids.
+ */
+const connectionRestMs = 20;
 /** Wait after the last request in which this host's shares of fleet-wide limits can return to the peers, in ms. */
 const allowanceReturnMs = 600;
 /** Shortest wait of a shutdown step, in ms. */
@@ -87,6 +92,10 @@
         this.#callers.post({type: 'answerArrived', requestId, answer});
       },
       count,
+      restMs: connectionRestMs,
+      warn: (event, fields) => {
+        options.log.warn({event, ...fields});
+      },
     });
     this.#callers = new CallerTask({
       ...settings.callers,
@@ -139,7 +148,11 @@
     });
   }
 
-  /** Shuts down after the running requests have finished, or when the grace time is over. */
+  /**
+   * Shuts down within the grace time: announces it to callers on their responses and still serves requests that
+   * arrive for a while, then waits for the running ones. Idle connections close only after that while, so that
+   * no request that crosses the shutdown on a kept connection is cut.
+   */
   async stop(): Promise<void> {
     if (this.#isStopping) {
       return;
@@ -147,7 +160,11 @@
     this.#isStopping = true;
     const {settings, log} = this.#options;
     log.info({event: 'host.stopping', inProgress: this.#callers.inProgress});
-    const deadline = this.#wait(settings.shutdown.graceMs).then(() => 'cut' as const);
+    const {graceMs, announceMs} = settings.shutdown;
+    const deadline = this.#wait(graceMs).then(() => 'cut' as const);
+    this.#runner.post({type: 'shutdownAnnounced'});
+    this.#callers.closeConnectionsAfterResponses();
+    await this.#wait(Math.min(announceMs, graceMs));
     const drained = this.#callers.drain().then(() => 'drained' as const);
     this.#runner.post({type: 'shutdownWanted'});
     const result = await Promise.race([drained, deadline]);
