--- a/packages/bench/src/__tests__/registryAndRateLimits.test.ts
+++ b/packages/bench/src/__tests__/registryAndRateLimits.test.ts
@@ -167,6 +167,70 @@
     }
   });
 
+  it('uses no withdrawn key and no server that left where all hosts but one with an old view restart', () => {
+    for (const seed of [1, 2, 3]) {
+      const fleet = createGrayFailureFleet(hash, {seed});
+      fleet.queue.runUntil(startupMs);
+      const staleId = fleet.hostId(1);
+      for (const hostId of fleet.hosts.keys()) {
+        fleet.network.cut(staleId, hostId);
+        fleet.network.cut(hostId, staleId);
+      }
+      fleet.refusedByRegistry.add(staleId);
+      const [leftServer] = [...fleet.servers.values()];
+      if (leftServer === undefined) {
+        throw new Error('the fleet has no servers');
+      }
+      const document = grayFailureDocument(2);
+      fleet.publish([
+        {
+          kind: 'document',
+          document: {
+            ...document,
+            customers: document.customers.filter(({id}) => id !== 'small'),
+          },
+        },
+        {kind: 'serverGone', serverId: leftServer.id, revision: 3},
+      ]);
+      fleet.queue.runUntil(startupMs + 500);
+      fleet.isRegistryUp = false;
+      for (const hostId of [...fleet.hosts.keys()]) {
+        if (hostId !== staleId) {
+          fleet.crashHost(hostId);
+        }
+      }
+      fleet.network.heal();
+      fleet.queue.runUntil(startupMs + 1_000);
+      for (let number = 2; number <= 24; number += 1) {
+        fleet.startHost(number);
+      }
+      sendRandomLoad(fleet, {forMs: 12_000, customers: {small: 1, large: 1}});
+      fleet.queue.runUntil(startupMs + 8_000);
+      fleet.isRegistryUp = true;
+      fleet.refusedByRegistry.clear();
+      fleet.queue.runUntil(startupMs + 16_000);
+      const boundAtMs = startupMs + DEFAULT_FLEET_BOUNDS.keyWithdrawalMs;
+      const late = fleet.outcomes.filter(({arrivedAtMs}) => arrivedAtMs > boundAtMs);
+      const withKey = late.filter(({customerId}) => customerId === 'small');
+      expect(
+        withKey.filter(({status}) => status === 200),
+        `seed ${seed}`,
+      ).to.deep.equal([]);
+      const starts = fleet.attemptTimesMs.get(leftServer.id) ?? [];
+      expect(
+        starts.filter((atMs) => atMs > boundAtMs),
+        `seed ${seed}`,
+      ).to.deep.equal([]);
+      const others = late.filter(
+        ({customerId, arrivedAtMs}) => customerId === 'large' && arrivedAtMs > startupMs + 10_500,
+      );
+      expect(
+        others.some(({status}) => status === 200),
+        `seed ${seed}`,
+      ).to.equal(true);
+    }
+  });
+
   it('lets a host that restarted serve requests again', () => {
     const fleet = createGrayFailureFleet(hash);
     fleet.queue.runUntil(startupMs);
