Registry start gate, risk survey and new servers as classes of their own; configuration refusals ask back after 0.5 s

Change: StartGate, RiskSurvey and NewServers, moved without change; retry-after of no-configuration 500 ms.

--- a/packages/core/src/errors/responseTable.ts
+++ b/packages/core/src/errors/responseTable.ts
@@ -67,7 +67,7 @@
     status: 503,
     title: 'This host has no configuration yet',
     outcome: 'not-run',
-    retryAfterMs: 1_000,
+    retryAfterMs: 500,
   },
   'shutting-down': {
     status: 503,
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -6,8 +6,10 @@
 import {PoisonRequestDetector} from './poisonRequestDetector.ts';
 import {QueueAdmission} from './queueAdmission.ts';
 import type {ExpiredQuery} from './queueAdmission.ts';
-import {FloorPolicy, healthyBelowRisk, unusedAfterMs} from './floorPolicy.ts';
+import {FloorPolicy} from './floorPolicy.ts';
 import {NewServerPolicy} from './newServerPolicy.ts';
+import {NewServers} from './newServers.ts';
+import {RiskSurvey} from './riskSurvey.ts';
 import {RecentOutcomes} from './recentOutcomes.ts';
 import type {EntryHost, GrantedPlacement, PlacementDecision} from './placementDecision.ts';
 import type {PlacementCandidate, PlacementPolicy, PlacementContext} from './placementPolicy.ts';
@@ -45,10 +47,8 @@
 const lostOutcomeGraceMs = 500;
 /** Time for which a server gets no attempts after another server answered at its address, in ms. */
 const misdirectedAvoidanceMs = 5_000;
-/** Risk below which a server's slots count when estimating how long requests wait. */
-const usableBelowRisk = 0.5;
-/** Time for which figures over all servers or attempts are used again, in ms. */
-const surveyValidityMs = 5;
+/** Time for which figures over all running attempts are used again, in ms. */
+const overdueValidityMs = 5;
 
 /** The backend and the fleet-wide bounds that its home enforces. */
 export interface BackendHomeOptions {
@@ -81,10 +81,8 @@
   #lapsedIds: ReadonlySet<string> = new Set();
   #backend: Backend | undefined;
   #fleetShare = 1;
-  /** Servers that joined after the first list and have had no attempt, with the moment at which they are warm. */
-  readonly #newServersWarmAtMs = new Map<string, number>();
-  #hasServerList = false;
-  readonly #bestRisk: RecentFigure;
+  readonly #newServers = new NewServers();
+  readonly #survey: RiskSurvey;
   readonly #unservedShare: RecentFigure;
   /** Hosts with an overdue attempt, as of the newest `#unservedShare`. */
   readonly #overdueHostIds = new Set<string>();
@@ -92,8 +90,11 @@
   constructor(options: BackendHomeOptions) {
     this.#options = options;
     const {retryRatio, retryWindowMs, retrySlack} = options.bounds;
-    this.#bestRisk = new RecentFigure(surveyValidityMs, (nowMs) => this.#computeBestRisk(nowMs));
-    this.#unservedShare = new RecentFigure(surveyValidityMs, (nowMs) =>
+    this.#survey = new RiskSurvey({
+      riskOf: (serverId) => this.#riskOf(serverId),
+      shareAbove: this.#durations.shareAbove,
+    });
+    this.#unservedShare = new RecentFigure(overdueValidityMs, (nowMs) =>
       this.#recentOutcomes.unservedShare(this.#countOverdue(nowMs)),
     );
     this.#retries = new RetryWindow({
@@ -124,13 +125,13 @@
   ): void {
     const {backendId} = this.#options;
     this.#lapsedIds = new Set(lapsedServerIds);
-    const knownIds = new Set(this.#servers.map(({id}) => id));
     const own = servers.filter((server) => server.backendId === backendId);
     this.#servers = own.filter(
       ({state, dataCentre}) => state === 'in-service' && !outOfService.includes(dataCentre),
     );
     const ownIds = new Set(own.map(({id}) => id));
-    this.#recordJoined(knownIds, nowMs);
+    this.#survey.setServers(this.#servers);
+    this.#newServers.setServers(this.#servers, (serverId) => this.#risks.has(serverId), nowMs);
     for (const [serverId, serverRisk] of this.#risks) {
       if (!ownIds.has(serverId) && serverRisk.running.size === 0) {
         this.#risks.delete(serverId);
@@ -145,22 +146,6 @@
     this.#coldUntilMs = new Map(own.map(({id, coldForMs}) => [id, nowMs + coldForMs]));
   }
 
-  /** Notes which servers in service joined since the former list. */
-  #recordJoined(knownIds: ReadonlySet<string>, nowMs: number): void {
-    const inServiceIds = new Set(this.#servers.map(({id}) => id));
-    for (const serverId of this.#newServersWarmAtMs.keys()) {
-      if (!inServiceIds.has(serverId)) {
-        this.#newServersWarmAtMs.delete(serverId);
-      }
-    }
-    for (const {id, coldForMs} of this.#servers) {
-      if (this.#hasServerList && !knownIds.has(id) && !this.#risks.has(id)) {
-        this.#newServersWarmAtMs.set(id, nowMs + coldForMs);
-      }
-    }
-    this.#hasServerList ||= this.#servers.length > 0;
-  }
-
   /** Number of servers in service, for logs and status. */
   get serverCount(): number {
     return this.#servers.length;
@@ -254,19 +239,10 @@
       ? 1
       : (nowMs - arrivedAtMs) / this.#durations.maxWaitInTargetMs(routeId, leftMs);
     const sinceLastStartMs = nowMs - lastStartMs;
-    const bestRisk = this.#bestRisk.at(nowMs);
+    const bestRisk = this.#survey.bestRisk(nowMs);
     return isRiskAccepted({risk, sinceLastStartMs, bestRisk, isRepeatable, waitedShare});
   }
 
-  /** Lowest risk among the servers in service, with or without a free slot. */
-  #computeBestRisk(nowMs: number): number {
-    let best = 1;
-    for (const {id} of this.#servers) {
-      best = Math.min(best, this.#riskOf(id).risk(nowMs, this.#durations.shareAbove));
-    }
-    return best;
-  }
-
   /** Number of running attempts that nearly all responses on their route are faster than. */
   #countOverdue(nowMs: number): number {
     this.#overdueHostIds.clear();
@@ -280,20 +256,6 @@
     return count;
   }
 
-  /** Share of the healthy servers on which an attempt started recently. */
-  #usedHealthyShare(nowMs: number): number {
-    let healthy = 0;
-    let used = 0;
-    for (const {id} of this.#servers) {
-      const serverRisk = this.#riskOf(id);
-      if (serverRisk.risk(nowMs, this.#durations.shareAbove) < healthyBelowRisk) {
-        healthy += 1;
-        used += nowMs - serverRisk.lastStartMs < unusedAfterMs ? 1 : 0;
-      }
-    }
-    return healthy === 0 ? 1 : used / healthy;
-  }
-
   /** Records the end of an attempt; returns false where the attempt is unknown here. */
   finishAttempt(key: string, outcome: AttemptOutcome, ranForMs: number, nowMs: number): boolean {
     const attempt = this.#attempts.get(key);
@@ -394,7 +356,7 @@
     const attempt: PlacedAttempt = {hostId, routeId, startedAtMs: nowMs, serverId, requestDigest};
     this.#attempts.set(key, attempt);
     serverRisk.start(key, attempt);
-    this.#newServersWarmAtMs.delete(serverId);
+    this.#newServers.recordStart(serverId);
     this.admission.recordGrant(query, nowMs);
     if (query.isRepeat) {
       this.#retries.recordRetry(nowMs);
@@ -411,7 +373,7 @@
 
   /** Queues a query that found no server; refuses it where no server is usable or no time is left to wait. */
   #enqueue(key: string, query: PlaceAsk, entryHost: EntryHost, nowMs: number): PlacementDecision {
-    if (isNoServerUsable(this.#bestRisk.at(nowMs))) {
+    if (isNoServerUsable(this.#survey.bestRisk(nowMs))) {
       return {state: 'refused', kind: 'no-server', retryAfterMs: unusableRetryMs};
     }
     const {routeId, leftMs} = query;
@@ -420,22 +382,12 @@
       query,
       maxWaitInTargetMs: this.#durations.maxWaitInTargetMs(routeId, leftMs),
       maxWaitBeforeDeadlineMs: this.#durations.maxWaitBeforeDeadlineMs(routeId, leftMs),
-      expectedStartsPerMs: this.#healthySlots(nowMs) / this.#durations.medianMs(routeId),
+      expectedStartsPerMs: this.#survey.usableSlots(nowMs) / this.#durations.medianMs(routeId),
     };
     const decision = this.admission.admit(key, terms, nowMs);
     return decision.state === 'refused' ? {...decision, kind: 'overloaded'} : decision;
   }
 
-  /** Slots of the servers that are likelier to succeed than to fail, at least one. */
-  #healthySlots(nowMs: number): number {
-    let slots = 0;
-    for (const server of this.#servers) {
-      const risk = this.#riskOf(server.id).risk(nowMs, this.#durations.shareAbove);
-      slots += risk < usableBelowRisk ? server.slots : 0;
-    }
-    return Math.max(1, slots);
-  }
-
   /**
    * Servers that may run the attempt. Servers whose registry entry lapsed are used only where no other may.
    */
@@ -467,19 +419,13 @@
         lastStartMs: serverRisk.lastStartMs,
         isConnected: connectedIds.has(server.id) && !isPathSuspect,
         isLocal: server.dataCentre === dataCentre,
-        newForMs: this.#newForMs(server.id, nowMs),
+        newForMs: this.#newServers.newForMs(server.id, nowMs),
       };
       (this.#lapsedIds.has(server.id) ? lapsedCandidates : usableCandidates).push(candidate);
     }
     return usableCandidates.length > 0 ? usableCandidates : lapsedCandidates;
   }
 
-  /** Time since a new server became warm, in ms; undefined while it is cold and for all other servers. */
-  #newForMs(serverId: string, nowMs: number): number | undefined {
-    const warmAtMs = this.#newServersWarmAtMs.get(serverId);
-    return warmAtMs === undefined || warmAtMs > nowMs ? undefined : nowMs - warmAtMs;
-  }
-
   /** Attempts that may start on a server in one second. */
   #startsPerSecond(serverId: string, nowMs: number): number {
     const rate = this.#backend?.coldRequestsPerSecond;
@@ -498,7 +444,7 @@
       bodyBytes,
       isRepeatable,
       unservedShare: this.#unservedShare.at(nowMs),
-      usedHealthyShare: () => this.#usedHealthyShare(nowMs),
+      usedHealthyShare: () => this.#survey.usedHealthyShare(nowMs),
       serverCount: this.#servers.length,
       failedShare: this.#recentOutcomes.failed,
       hasSpareRetries: this.#retries.usedShare(nowMs) < maxRetryUseForTrials,
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -7,6 +7,7 @@
 import type {RandomSource} from '../random/randomSource.ts';
 import {RegistrySources} from './registrySources.ts';
 import {RegistryView} from './registryView.ts';
+import {StartGate} from './startGate.ts';
 
 /** Identity of the host, the bounds of the fleet and the timing of registry queries. */
 export interface RegistryTaskOptions {
@@ -52,28 +53,6 @@
 const timerId = 'registry.tick';
 /** Interval of the timer that sends queries and checks freshness, in ms. */
 const tickIntervalMs = 100;
-/** Longest wait of a new process for another host before the registry is read anyway, in ms. */
-const firstContactTimeoutMs = 1_200;
-/**
- * First start of the fleet: time for which the roster must not have grown before the registry is read, in ms,
- * so that all hosts agree on the reader; some nine gossip rounds of the startup phase.
- */
-const settledRosterMs = 900;
-/** First start of the fleet: longest wait for the roster to settle, in ms. */
-const settledRosterTimeoutMs = 4_000;
-/**
- * Later start of a process: time for which the roster must not have grown before the host gets registry data
- * and serves, in ms, as many hosts may have restarted together.
- */
-const restartSettledRosterMs = 250;
-/** Later start of a process: longest wait for the roster to settle, in ms. */
-const restartSettledTimeoutMs = 800;
-/**
- * Time from its first contact for which a new process queries peers that have no registry data yet again,
- * before it reads the registry itself, in ms: the reader of a fleet that starts as a whole needs it to read
- * every page.
- */
-const emptyPeersTimeoutMs = 1_500;
 /** Pause before a peer that has no registry data yet is queried again, in ms. */
 const emptyPeerRetryMs = 100;
 /** Delay of a reader or relay after all sources failed, in ms. */
@@ -102,6 +81,7 @@
  * Load pattern: all hosts start at once, or the registry is down or turns hosts away. Every call counts, so a
  * new process gets the registry data from peers where it can, and of the hosts whose peers fail only a few
  * try the registry in each round.
+ *
  * A host may serve customers while its newest registry data, read by itself or received from a peer, is
  * within the key withdrawal bound. Ages count from the moment the query was sent, on the own clock, so that
  * a reply that sat in a buffer while the host was suspended does not appear recent.
@@ -122,12 +102,7 @@
   readonly #sources: RegistrySources;
   /** When each host last sent a query, on the own clock, in ms. */
   readonly #queriedAtMsByHost = new Map<string, number>();
-  #startedAtMs: number | undefined;
-  /** When the roster, the gossip-based member list, first listed another host, in ms; undefined before. */
-  #firstContactAtMs: number | undefined;
-  #liveCount = 1;
-  /** When the roster last grew, in ms. */
-  #rosterGrewAtMs = 0;
+  readonly #startGate: StartGate;
   /** True if a peer replied since the sources were last tried from the first on. */
   #hasPeerReplied = false;
   /** Latest moment at which the registry surely held nothing newer than the view, in ms. */
@@ -146,6 +121,7 @@
   constructor(options: Partial<RegistryTaskOptions> & RequiredRegistryOptions) {
     this.#options = {...DEFAULT_REGISTRY_OPTIONS, ...options};
     this.#sources = new RegistrySources(options);
+    this.#startGate = new StartGate(this.#options.isFirstStart);
     this.#nextNonce = this.#options.firstNonce;
   }
 
@@ -187,13 +163,7 @@
   }
 
   #onRosterChanged({live}: RosterChanged, nowMs: number): readonly CoreMessage[] {
-    if (live.length > 1) {
-      this.#firstContactAtMs ??= nowMs;
-    }
-    if (live.length > this.#liveCount) {
-      this.#rosterGrewAtMs = nowMs;
-    }
-    this.#liveCount = live.length;
+    this.#startGate.recordRoster(live.length, nowMs);
     const previousSource = this.#sources.current;
     this.#sources.setLiveHosts(live);
     if (previousSource === this.#sources.current) {
@@ -204,9 +174,9 @@
   }
 
   #onTick(nowMs: number): readonly CoreMessage[] {
-    this.#startedAtMs ??= nowMs;
+    this.#startGate.recordStart(nowMs);
     const timer: CoreMessage = {type: 'timerWanted', timerId, atMs: nowMs + tickIntervalMs};
-    if (!this.#hasStartDelayPassed(nowMs)) {
+    if (!this.#hasData && !this.#startGate.isOpen(nowMs)) {
       return [timer];
     }
     return [
@@ -217,31 +187,9 @@
     ];
   }
 
-  /**
-   * True once the host may get registry data: after its first contact with another host or a timeout.
-   *
-   * When the whole fleet starts for the first time, before callers connect, each host waits until the roster
-   * has settled. A process that starts later waits for that too, but not for long, because callers wait for
-   * it: until it knows the other hosts it would take itself or the wrong host for the home of a customer.
-   */
-  #hasStartDelayPassed(nowMs: number): boolean {
-    if (this.#confirmedAtMs > 0 || this.#startedAtMs === undefined) {
-      return true;
-    }
-    if (this.#firstContactAtMs === undefined) {
-      return nowMs - this.#startedAtMs >= firstContactTimeoutMs;
-    }
-    if (this.#options.isFirstStart) {
-      return this.#hasRosterSettled(settledRosterMs, settledRosterTimeoutMs, nowMs);
-    }
-    return this.#hasRosterSettled(restartSettledRosterMs, restartSettledTimeoutMs, nowMs);
-  }
-
-  /** True if the roster has not grown for a while, or the process has waited for that long enough. */
-  #hasRosterSettled(settledMs: number, timeoutMs: number, nowMs: number): boolean {
-    return (
-      nowMs - this.#rosterGrewAtMs >= settledMs || nowMs - (this.#startedAtMs ?? nowMs) >= timeoutMs
-    );
+  /** True once the host received registry data. */
+  get #hasData(): boolean {
+    return Number.isFinite(this.#confirmedAtMs);
   }
 
   /** Queries the current source when a query is due, or watches the registry if that is the source. */
@@ -328,7 +276,7 @@
     }
     const {random} = this.#options;
     const fraction = random.nextInt(randomResolution) / randomResolution;
-    return fraction >= lastResortReaders / this.#liveCount;
+    return fraction >= lastResortReaders / this.#startGate.liveCount;
   }
 
   #onUnreadable(reason: string, nowMs: number): readonly CoreMessage[] {
@@ -406,11 +354,7 @@
 
   /** Queries a peer without registry data again for a while after the start, then tries the next source. */
   #onEmptyReply(nowMs: number): readonly CoreMessage[] {
-    const sinceContactMs = nowMs - (this.#firstContactAtMs ?? nowMs);
-    const timeoutMs = this.#options.isFirstStart
-      ? settledRosterTimeoutMs + emptyPeersTimeoutMs
-      : emptyPeersTimeoutMs;
-    if (this.#confirmedAtMs > 0 || sinceContactMs >= timeoutMs) {
+    if (this.#hasData || !this.#startGate.awaitsEmptyPeers(nowMs)) {
       return this.#onSourceFailed('knows nothing yet', nowMs);
     }
     this.#nextQueryAtMs = nowMs + emptyPeerRetryMs;
