--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -52,9 +52,9 @@
 
 const timerId = 'registry.tick';
 /** Interval of the timer that sends queries and checks freshness, in ms. */
-const tickIntervalMs = 100;
+const tickIntervalMs = 50;
 /** Pause before a peer that has no registry data yet is queried again, in ms. */
-const emptyPeerRetryMs = 100;
+const emptyPeerRetryMs = 40;
 /** Delay of a reader or relay after all sources failed, in ms. */
 const readerRetryDelayMs = 400;
 /** Delay of every other host after all sources failed, in ms. */
--- a/packages/core/src/registry/startGate.ts
+++ b/packages/core/src/registry/startGate.ts
@@ -12,7 +12,7 @@
 /** First start of the fleet: all hosts agree on the reader after some nine gossip rounds of the startup phase. */
 const firstStartTimes: SettlingTimes = {settledMs: 900, timeoutMs: 4_000};
 /** Later start of a process: callers wait, but many hosts may have restarted together. */
-const restartTimes: SettlingTimes = {settledMs: 250, timeoutMs: 800};
+const restartTimes: SettlingTimes = {settledMs: 150, timeoutMs: 500};
 /**
  * Time from its first contact for which a new process queries peers that have no registry data yet again,
  * before it reads the registry itself, in ms: the reader of a fleet that starts as a whole needs it to read
