One report of malformed responses; one draw for the followers that read the registry

Cause: the read of the whole change found two pieces written twice or longer than needed: BackendTask counted and reported a malformed response in two places, and RegistryTask turned a whole number into a fraction to compare it with four in as many as are live. Change: #reportMalformed serves both; one draw among the live hosts. Behaviour and probabilities stay.

--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -64,8 +64,6 @@
  * registry fails them. The registry may serve some hosts while it turns others away, and counts every call.
  */
 const lastResortReaders = 4;
-/** Number of distinct values of a random fraction. */
-const randomResolution = 1_000_000;
 /** Time for which another source is used before the preferred source is tried again, in ms. */
 const preferredSourceRetryMs = 3_000;
 /** Time after its last query for which a host is notified of registry changes, in ms. */
@@ -274,9 +272,7 @@
     if (!this.#sources.isSelf || this.#sources.role !== 'follower' || !this.#hasPeerReplied) {
       return false;
     }
-    const {random} = this.#options;
-    const fraction = random.nextInt(randomResolution) / randomResolution;
-    return fraction >= lastResortReaders / this.#startGate.liveCount;
+    return this.#options.random.nextInt(this.#startGate.liveCount) >= lastResortReaders;
   }
 
   #onUnreadable(reason: string, nowMs: number): readonly CoreMessage[] {
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -202,14 +202,25 @@
   }
 
   /** Ends an attempt whose server sends interim responses without end, and reports it to the core as malformed. */
-  #failForInterimResponses({requestId, attempt}: RunAttempt, controller: AbortController): void {
+  #failForInterimResponses(run: RunAttempt, controller: AbortController): void {
     if (controller.signal.aborted) {
       return;
     }
-    this.#options.count('server.malformed', {reason: 'interim'});
     controller.abort(new InterimResponsesError(`more than ${maxInterimResponses} of them`));
-    const failed = {failure: 'malformed' as const, mayHaveRun: true};
-    this.#options.postToCore({type: 'attemptFailed', requestId, attempt, ...failed});
+    this.#reportMalformed(run, 'interim');
+  }
+
+  /** Counts a response that is not passed on, and reports its attempt to the core as failed. */
+  #reportMalformed({requestId, attempt}: RunAttempt, reason: string): void {
+    const {count, postToCore} = this.#options;
+    count('server.malformed', {reason});
+    postToCore({
+      type: 'attemptFailed',
+      requestId,
+      attempt,
+      failure: 'malformed',
+      mayHaveRun: true,
+    });
   }
 
   /**
@@ -231,15 +242,7 @@
       echoedName === undefined ? run.mustEchoName === true : echoedName !== run.attemptName;
     if (isOfOtherAttempt || classification.isMalformed) {
       body.on('error', () => undefined).destroy();
-      this.#options.count('server.malformed', {reason: isOfOtherAttempt ? 'foreign' : 'unsigned'});
-      const failure = 'malformed';
-      this.#options.postToCore({
-        type: 'attemptFailed',
-        requestId,
-        attempt,
-        failure,
-        mayHaveRun: true,
-      });
+      this.#reportMalformed(run, isOfOtherAttempt ? 'foreign' : 'unsigned');
       return;
     }
     const dropped = dialect.droppedResponseHeaders(notRunHeader);
