Logs tell which limit a server names and which policy granted it

Responses are decoded into a notice of the server (server.notice, logged where it changes, and counted); place.granted has the policy.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,7 @@
   RequestArrived,
   StartAttempt,
 } from './messages/requestMessages.ts';
+export type {ServerNotice} from './messages/serverNotice.ts';
 export type {SendProbe} from './messages/hostMessages.ts';
 export {responseTable} from './errors/responseTable.ts';
 export type {ErrorResponse} from './errors/responseTable.ts';
--- a/packages/core/src/messages/coreMessage.ts
+++ b/packages/core/src/messages/coreMessage.ts
@@ -6,6 +6,7 @@
 export const hostEventSchema = z.discriminatedUnion('type', [
   request.requestArrivedSchema,
   request.attemptAnsweredSchema,
+  request.serverNoticedSchema,
   request.attemptFailedSchema,
   request.attemptFinishedSchema,
   request.callerLeftSchema,
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -2,6 +2,7 @@
 import {errorKindSchema, outcomeSchema} from '../errors/errorKinds.ts';
 import {storedResponseSchema} from './peerMessages.ts';
 import {attemptOutcomeSchema} from './attemptOutcome.ts';
+import {serverNoticeSchema} from './serverNotice.ts';
 
 const requestIdSchema = z.number().int();
 
@@ -40,6 +41,13 @@
   isMisdirected: z.boolean().optional(),
 });
 
+/** A backend server responded; reports what it states about itself, at the head of the response. */
+export const serverNoticedSchema = z.object({
+  type: z.literal('serverNoticed'),
+  serverId: z.string(),
+  notice: serverNoticeSchema,
+});
+
 /** Why an attempt ended without a complete response. */
 export const attemptFailureSchema = z.enum([
   'connect',
@@ -317,6 +325,7 @@
 
 export type RequestArrived = z.infer<typeof requestArrivedSchema>;
 export type AttemptFailure = z.infer<typeof attemptFailureSchema>;
+export type ServerNoticed = z.infer<typeof serverNoticedSchema>;
 export type ServerReleased = z.infer<typeof serverReleasedSchema>;
 export type ServerLimits = z.infer<typeof serverLimitsSchema>;
 export type ServerWanted = z.infer<typeof serverWantedSchema>;
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -29,6 +29,9 @@
   readonly requestDigest: string;
 }
 
+/** A candidate that a policy chose, with the name of the policy. */
+type ChosenServer = PlacementCandidate & {readonly policy: string};
+
 /**
  * Retry-after sent to callers while every server is above the risk limit, in ms: half of the half-life of
  * suspicion.
@@ -196,21 +199,26 @@
     const context = this.#context(query, nowMs);
     const isNontrivial = !this.#durations.isTrivial(this.#durations.medianMs(query.routeId));
     const isTrialAllowed = query.isRepeatable && !query.isRepeat && isNontrivial;
-    const preferred =
-      (isTrialAllowed ? this.#trialPolicy.select(candidates, context) : undefined) ??
-      (query.isRepeat ? undefined : this.#newServerPolicy.select(candidates, context));
-    if (preferred !== undefined) {
-      return this.#grant(key, query, entryHost, preferred, nowMs);
+    const preferringPolicies = [
+      ...(isTrialAllowed ? [this.#trialPolicy] : []),
+      ...(query.isRepeat ? [] : [this.#newServerPolicy]),
+    ];
+    for (const policy of preferringPolicies) {
+      const preferred = policy.select(candidates, context);
+      if (preferred !== undefined) {
+        return this.#grant(key, query, entryHost, {...preferred, policy: policy.name}, nowMs);
+      }
     }
     const unused = this.#floorPolicy.select(candidates, context);
     if (unused !== undefined && !this.#isPathUncertain(entryHost.hostId, unused.serverId, nowMs)) {
       // The host may not have used its path to the server for long: a new connection shows whether it works.
-      const decision = this.#grant(key, query, entryHost, unused, nowMs);
+      const {name: policy} = this.#floorPolicy;
+      const decision = this.#grant(key, query, entryHost, {...unused, policy}, nowMs);
       return {...decision, needsNewConnection: !query.isRepeatable};
     }
     const chosen = this.#lowestRiskPolicy.select(candidates, context);
     return chosen !== undefined && this.#isAccepted(chosen, query, arrivedAtMs, nowMs)
-      ? this.#grant(key, query, entryHost, chosen, nowMs)
+      ? this.#grant(key, query, entryHost, {...chosen, policy: this.#lowestRiskPolicy.name}, nowMs)
       : undefined;
   }
 
@@ -347,7 +355,7 @@
     key: string,
     query: PlaceAsk,
     {hostId}: EntryHost,
-    {serverId, risk}: PlacementCandidate,
+    {serverId, risk, policy}: ChosenServer,
     nowMs: number,
   ): GrantedPlacement {
     const {routeId, requestDigest} = query;
@@ -364,6 +372,7 @@
     return {
       state: 'granted',
       serverId,
+      policy,
       risk,
       provenAgoMs,
       secondAfterMs: this.#durations.secondAfterMs(routeId, risk),
--- a/packages/core/src/placement/floorPolicy.ts
+++ b/packages/core/src/placement/floorPolicy.ts
@@ -26,6 +26,8 @@
  * capacity that operators count on stays idle.
  */
 export class FloorPolicy implements PlacementPolicy {
+  readonly name = 'floor';
+
   select(
     candidates: readonly PlacementCandidate[],
     {nowMs, unservedShare, usedHealthyShare}: PlacementContext,
--- a/packages/core/src/placement/lowestRiskPolicy.ts
+++ b/packages/core/src/placement/lowestRiskPolicy.ts
@@ -41,6 +41,8 @@
  * fail they are spread, so that healthy servers are not left unused.
  */
 export class LowestRiskPolicy implements PlacementPolicy {
+  readonly name = 'lowest-risk';
+
   select(
     candidates: readonly PlacementCandidate[],
     {failedShare, bodyBytes}: PlacementContext,
--- a/packages/core/src/placement/newServerPolicy.ts
+++ b/packages/core/src/placement/newServerPolicy.ts
@@ -13,6 +13,8 @@
  * always look safer than one without any, so that a new server would never get a request.
  */
 export class NewServerPolicy implements PlacementPolicy {
+  readonly name = 'new-server';
+
   select(
     candidates: readonly PlacementCandidate[],
     {isRepeatable}: PlacementContext,
--- a/packages/core/src/placement/placementDecision.ts
+++ b/packages/core/src/placement/placementDecision.ts
@@ -4,6 +4,8 @@
 export interface GrantedPlacement {
   readonly state: 'granted';
   readonly serverId: string;
+  /** Name of the policy that chose the server. */
+  readonly policy: string;
   /** Estimated probability that the attempt fails, 0 to 1. */
   readonly risk: number;
   /** Time after which an unanswered attempt is late enough to start a hedged one, in ms. */
--- a/packages/core/src/placement/placementEntryTask.ts
+++ b/packages/core/src/placement/placementEntryTask.ts
@@ -5,10 +5,11 @@
 import type {LiveHost, RegisteredServersChanged} from '../messages/hostMessages.ts';
 import type {PeerMessage, PlaceAnswer, PlaceAsk} from '../messages/peerMessages.ts';
 import type {AttemptOutcome} from '../messages/attemptOutcome.ts';
-import type {ServerReleased, ServerWanted} from '../messages/requestMessages.ts';
+import type {ServerNoticed, ServerReleased, ServerWanted} from '../messages/requestMessages.ts';
 import type {HashFunction} from '../hash/hashFunction.ts';
 import type {RandomSource} from '../random/randomSource.ts';
 import {LocalServerSelector} from './localServerSelector.ts';
+import {ServerNotices} from './serverNotices.ts';
 
 /** Options of the task that requests servers for this host. */
 export interface PlacementEntryTaskOptions {
@@ -85,6 +86,7 @@
   readonly accepts = [
     'serverWanted',
     'serverReleased',
+    'serverNoticed',
     'requestWithdrawn',
     'registeredServersChanged',
     'serverConnections',
@@ -99,6 +101,7 @@
   readonly #pendingQueries = new Map<number, PendingQuery>();
   readonly #queryIdByRequest = new Map<number, number>();
   readonly #grants = new Map<string, GrantedAttempt>();
+  readonly #notices = new ServerNotices();
   readonly #lastOutcomes = new Map<string, LastOutcome>();
   #servers: readonly DiscoveredServer[] = [];
   /** Origins of the servers in service, as far as this host knows. */
@@ -120,6 +123,8 @@
         return this.#onServerWanted(message, nowMs);
       case 'serverReleased':
         return this.#onReleased(message, nowMs);
+      case 'serverNoticed':
+        return this.#onNoticed(message, nowMs);
       case 'requestWithdrawn':
         return this.#withdraw(message.requestId);
       case 'registeredServersChanged':
@@ -143,6 +148,7 @@
   }
 
   #onServers({servers, outOfService}: RegisteredServersChanged): readonly CoreMessage[] {
+    this.#notices.retainServers(new Set(servers.map(({id}) => id)));
     this.#servers = servers.filter(
       ({state, dataCentre}) => state === 'in-service' && !outOfService.includes(dataCentre),
     );
@@ -314,6 +320,17 @@
     return homeIds.map((toHostId) => ({type: 'sendToPeer', toHostId, message}));
   }
 
+  /** Records what a server states about itself, and logs it where that is new. */
+  #onNoticed({serverId, notice}: ServerNoticed, nowMs: number): readonly CoreMessage[] {
+    if (!this.#notices.record(serverId, notice, nowMs)) {
+      return [];
+    }
+    return [
+      {type: 'log', level: 'info', event: 'server.notice', fields: {serverId, ...notice}},
+      {type: 'count', name: 'server.notice', tags: {}},
+    ];
+  }
+
   #withdraw(requestId: number): readonly CoreMessage[] {
     const askId = this.#queryIdByRequest.get(requestId);
     const query = askId === undefined ? undefined : this.#pendingQueries.get(askId);
--- a/packages/core/src/placement/placementPolicy.ts
+++ b/packages/core/src/placement/placementPolicy.ts
@@ -41,6 +41,8 @@
 
 /** Selects the server of the next attempt; undefined where none should be used. */
 export interface PlacementPolicy {
+  /** Name of the policy in the log. */
+  readonly name: string;
   select(
     candidates: readonly PlacementCandidate[],
     context: PlacementContext,
--- a/packages/core/src/placement/trialPolicy.ts
+++ b/packages/core/src/placement/trialPolicy.ts
@@ -34,6 +34,7 @@
  * budget is nearly used up.
  */
 export class TrialPolicy implements PlacementPolicy {
+  readonly name = 'trial';
   #lastTrialMs = Number.NEGATIVE_INFINITY;
 
   /** Chooses the server for a trial request; undefined where no trial is due. */
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -245,6 +245,10 @@
       this.#reportMalformed(run, isOfOtherAttempt ? 'foreign' : 'unsigned');
       return;
     }
+    if (!classification.isMisdirected) {
+      const notice = dialect.serverNotice(response.headers);
+      this.#options.postToCore({type: 'serverNoticed', serverId: run.serverId, notice});
+    }
     const dropped = dialect.droppedResponseHeaders(notRunHeader);
     const headers = endToEndHeaders(response.headers, dropped);
     const bufferedBody = await bufferResponse(body, {
--- a/packages/proxy/src/dialect/defaultDialect.ts
+++ b/packages/proxy/src/dialect/defaultDialect.ts
@@ -1,8 +1,14 @@
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
-import type {ErrorKind} from '@godwitspring/core';
-import {customerHeader, deadlineHeader, requestIdHeader} from '../callers/headers.ts';
+import type {ErrorKind, ServerNotice} from '@godwitspring/core';
+import {
+  customerHeader,
+  deadlineHeader,
+  requestIdHeader,
+  serverNoticeHeaders,
+} from '../callers/headers.ts';
 import {problemBody, problemContentType} from '../callers/problemBody.ts';
 import {budgetMs, digestOfKey, singleHeader} from '../callers/requestHead.ts';
+import {decodeServerNotice} from './decodeServerNotice.ts';
 import type {
   ResponseClassification,
   AttemptHeaderValues,
@@ -73,6 +79,10 @@
     return {reportsNotRun, isMisdirected: false, isMalformed: false};
   }
 
+  serverNotice(headers: IncomingHttpHeaders): ServerNotice {
+    return decodeServerNotice(headers, serverNoticeHeaders);
+  }
+
   droppedResponseHeaders(notRunHeader: string): readonly string[] {
     return [requestIdHeader, notRunHeader];
   }
--- a/packages/proxy/src/dialect/httpDialect.ts
+++ b/packages/proxy/src/dialect/httpDialect.ts
@@ -1,5 +1,5 @@
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
-import type {ErrorKind, Outcome} from '@godwitspring/core';
+import type {ErrorKind, Outcome, ServerNotice} from '@godwitspring/core';
 
 /** Response by which a request is refused. */
 export interface Refusal {
@@ -72,6 +72,8 @@
     headers: IncomingHttpHeaders,
     notRunHeader: string,
   ): ResponseClassification;
+  /** Decodes what a server states about itself in the headers of a response. */
+  serverNotice(headers: IncomingHttpHeaders): ServerNotice;
   /** Response headers that are not forwarded to the caller, in lower case. */
   droppedResponseHeaders(notRunHeader: string): readonly string[];
   /** Builds the response that refuses a request. */
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -20,6 +20,7 @@
   Refusal,
   RefusalOptions,
 } from './dialect/httpDialect.ts';
+export {decodeServerNotice} from './dialect/decodeServerNotice.ts';
 export {budgetMs, digestOfKey, singleHeader} from './callers/requestHead.ts';
 export type {RegistryReading, RegistrySource} from './registry/registrySource.ts';
 export {waitForStopSignal} from './host/waitForStopSignal.ts';
