--- /dev/null
+++ b/packages/bench/src/__tests__/serverLimits.test.ts
@@ -0,0 +1,150 @@
+import type {HashFunction} from '@godwitspring/core';
+import {loadXxHash} from '@godwitspring/proxy';
+import {expect} from 'chai';
+import type {GrayFailureFleet} from '../gray-failure/grayFailureFleet.ts';
+import {
+  createGrayFailureFleet,
+  sendRandomLoad,
+  summariseOutcomes,
+} from '../gray-failure/grayFailureSetup.ts';
+
+/** Time in which the hosts find each other and the servers, in ms. */
+const startupMs = 8_000;
+/** Time from the first notice of a limit until the limit binds, in ms; operators give hosts this time to hear of it. */
+const bindsAfterMs = 3_000;
+/** Window in which operators count a server's requests, in ms. */
+const windowMs = 4_000;
+/** Factor and number of requests by which the count in a window may exceed the limit. */
+const tolerance = {factor: 1.5, requests: 5};
+const limitsPerSecond = [1, 1.9, 2.8, 3.8, 4.9];
+
+let hash: HashFunction;
+
+/** Most requests that reached a server in any window that begins at or after a moment. */
+function mostInWindow(timesMs: readonly number[], fromMs: number, toMs: number): number {
+  const counted = timesMs.filter((atMs) => atMs >= fromMs && atMs < toMs);
+  let most = 0;
+  let first = 0;
+  for (const [index, atMs] of counted.entries()) {
+    while (atMs - (counted[first] ?? atMs) > windowMs) {
+      first += 1;
+    }
+    most = Math.max(most, index - first + 1);
+  }
+  return most;
+}
+
+/** Servers that got more requests in a window than their limit allows, with the numbers. */
+function serversAboveLimit(
+  fleet: GrayFailureFleet,
+  limitedAtMs: number,
+  untilMs: number,
+): string[] {
+  const above: string[] = [];
+  for (const {id, notice} of fleet.servers.values()) {
+    const {limitPerSecond} = notice;
+    if (limitPerSecond === undefined) {
+      continue;
+    }
+    const allowed = (limitPerSecond * windowMs * tolerance.factor) / 1_000 + tolerance.requests;
+    const timesMs = fleet.attemptTimesMs.get(id) ?? [];
+    const most = mostInWindow(timesMs, limitedAtMs + bindsAfterMs, untilMs);
+    if (most > allowed) {
+      above.push(`${id}: ${most} in ${windowMs} ms, ${allowed} allowed`);
+    }
+  }
+  return above;
+}
+
+/** Makes two of three servers of the backend `core` name a limit; returns the time of that, in ms. */
+function limitServers(fleet: GrayFailureFleet): number {
+  let number = 0;
+  for (const server of fleet.servers.values()) {
+    number += 1;
+    const limitPerSecond = limitsPerSecond[number % limitsPerSecond.length];
+    server.notice = server.backendId === 'core' && number % 3 !== 0 ? {limitPerSecond} : {};
+  }
+  return fleet.queue.nowMs;
+}
+
+/** Host to which most placement queries went, in the last second. */
+function homeOf(fleet: GrayFailureFleet): string {
+  const granted = fleet.logs.filter(
+    ({event, fields, atMs}) =>
+      event === 'place.granted' && fields.backendId === 'core' && atMs > fleet.queue.nowMs - 1_000,
+  );
+  return granted.at(-1)?.hostId ?? '';
+}
+
+/** Number of a host by its id. */
+function hostNumber(fleet: GrayFailureFleet, hostId: string): number {
+  let number = 1;
+  while (fleet.hostId(number) !== hostId) {
+    number += 1;
+  }
+  return number;
+}
+
+function startFleet(seed: number): GrayFailureFleet {
+  const fleet = createGrayFailureFleet(hash, {seed, backends: [{id: 'core', servers: 21}]});
+  fleet.queue.runUntil(startupMs);
+  sendRandomLoad(fleet, {forMs: 30_000, seed, perSecond: 79, mix: {lookup: 22, payment: 57}});
+  fleet.queue.runUntil(startupMs + 6_000);
+  return fleet;
+}
+
+describe('servers that name a limit', () => {
+  before(async () => {
+    hash = await loadXxHash();
+  });
+
+  for (const seed of [1, 2, 3]) {
+    it(`get no more requests than the limit allows (seed ${seed})`, () => {
+      const fleet = startFleet(seed);
+      const limitedAtMs = limitServers(fleet);
+      fleet.queue.runUntil(limitedAtMs + 19_000);
+      expect(serversAboveLimit(fleet, limitedAtMs, fleet.queue.nowMs)).to.deep.equal([]);
+      expect(summariseOutcomes(fleet.outcomes).servedShare).to.be.above(0.5);
+    });
+  }
+
+  it('get no more requests than the limit allows while their home is replaced and comes back', () => {
+    const fleet = startFleet(4);
+    const limitedAtMs = limitServers(fleet);
+    fleet.queue.runUntil(limitedAtMs + 5_000);
+    const home = homeOf(fleet);
+    fleet.crashHost(home);
+    fleet.after(2_000, () => {
+      fleet.startHost(hostNumber(fleet, home));
+    });
+    fleet.queue.runUntil(limitedAtMs + 19_000);
+    expect(serversAboveLimit(fleet, limitedAtMs, fleet.queue.nowMs)).to.deep.equal([]);
+  });
+
+  it('get no more requests than the limit allows while hosts do not reach each other', () => {
+    const fleet = startFleet(5);
+    const limitedAtMs = limitServers(fleet);
+    fleet.after(2_000, () => {
+      for (const from of fleet.hosts.keys()) {
+        for (const to of fleet.hosts.keys()) {
+          fleet.network.cut(from, to);
+        }
+      }
+    });
+    fleet.queue.runUntil(limitedAtMs + 12_000);
+    expect(serversAboveLimit(fleet, limitedAtMs, fleet.queue.nowMs)).to.deep.equal([]);
+  });
+
+  it('get their share of the requests again once they name no limit', () => {
+    const fleet = startFleet(6);
+    limitServers(fleet);
+    fleet.queue.runUntil(fleet.queue.nowMs + 8_000);
+    for (const server of fleet.servers.values()) {
+      server.notice = {};
+    }
+    fleet.queue.runUntil(fleet.queue.nowMs + 8_000);
+    const sinceMs = fleet.queue.nowMs - 5_000;
+    const late = fleet.outcomes.filter(({arrivedAtMs}) => arrivedAtMs > sinceMs);
+    expect(summariseOutcomes(late).servedShare).to.be.above(0.97);
+  });
+});
--- a/packages/bench/src/gray-failure/grayFailureFleet.ts
+++ b/packages/bench/src/gray-failure/grayFailureFleet.ts
@@ -472,7 +472,9 @@
         isTrivial: pending.route.isTrivial ?? false,
         respond: ({status, reportsNotRun}) => {
           pending.statuses.set(number, status);
+          const {id: serverId, notice} = server;
           this.after(delayMs, () => {
+            host.deliver({type: 'serverNoticed', serverId, notice});
             host.deliver({
               type: 'attemptAnswered',
               requestId,
--- a/packages/bench/src/gray-failure/grayFailureServer.ts
+++ b/packages/bench/src/gray-failure/grayFailureServer.ts
@@ -1,4 +1,4 @@
-import type {RandomSource} from '@godwitspring/core';
+import type {RandomSource, ServerNotice} from '@godwitspring/core';
 
 /**
  * How a server behaves: it works (`healthy`), sends no response until the attempt times out (`silent`),
@@ -66,6 +66,8 @@
   affectedShare = 0.9;
   /** Time after which a request fails in mode `failing`, in ms; undefined for its service time. */
   failAfterMs: number | undefined;
+  /** What it states about itself in its responses. */
+  notice: ServerNotice = {};
   /** Number of requests that started to run. */
   runs = 0;
   readonly #options: GrayFailureServerOptions;
