Servers that name a limit get no more requests than it allows

Cause: the header was passed on to the caller, and no decision knew of it. The home of a backend bounds a server by its free slots and by its cold rate, so a limited server with fast responses had the lowest risk and got what its slots took. Fix: hosts pass notices of servers to the home with the end of each attempt and with each query, so that a home that was replaced hears them with its first query; the home spaces attempts on limited servers, and expects waits by what the limits admit. A host without a home keeps to its share of the limit. ServerAvailability takes these decisions, and two others, out of BackendHome.

--- a/packages/bench/src/gray-failure/grayFailureFleet.ts
+++ b/packages/bench/src/gray-failure/grayFailureFleet.ts
@@ -119,6 +119,10 @@
   readonly registryReads: {readonly hostId: string; readonly atMs: number}[] = [];
   /** Times at which attempts reached each server, in ms, by server. */
   readonly attemptTimesMs = new Map<string, number[]>();
+  /** Hosts whose attempts reached each server, in the order of `attemptTimesMs`. */
+  readonly attemptHostIds = new Map<string, string[]>();
+  /** When each host first got a notice with a limit from a server, in ms, by `hostId>serverId`. */
+  readonly limitHeardAtMs = new Map<string, number>();
   /** Number of attempts that reached a server, by host and request. */
   readonly attemptsByRequest = new Map<string, number>();
   readonly #options: GrayFailureFleetOptions;
@@ -463,6 +467,9 @@
       const startTimesMs = this.attemptTimesMs.get(server.id) ?? [];
       startTimesMs.push(this.queue.nowMs);
       this.attemptTimesMs.set(server.id, startTimesMs);
+      const hostIds = this.attemptHostIds.get(server.id) ?? [];
+      hostIds.push(host.id);
+      this.attemptHostIds.set(server.id, hostIds);
       const runKey = this.#requestKey(host.id, requestId);
       this.attemptsByRequest.set(runKey, (this.attemptsByRequest.get(runKey) ?? 0) + 1);
       abandon = server.handle({
@@ -474,7 +481,11 @@
           pending.statuses.set(number, status);
           const {id: serverId, notice} = server;
           this.after(delayMs, () => {
-            host.deliver({type: 'serverNoticed', serverId, notice});
+            const path = `${host.id}>${serverId}`;
+            if (notice.limitPerSecond !== undefined && !this.limitHeardAtMs.has(path)) {
+              this.limitHeardAtMs.set(path, this.queue.nowMs);
+            }
+            host.deliver({type: 'serverNoticed', requestId, serverId, notice});
             host.deliver({
               type: 'attemptAnswered',
               requestId,
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -1,6 +1,7 @@
 import {z} from 'zod';
 import {hostListSchema, manifestSchema, registryChangeSchema} from '@godwitspring/document';
 import {errorKindSchema} from '../errors/errorKinds.ts';
+import {noticeReportSchema, serverNoticeSchema} from './serverNotice.ts';
 import {attemptOutcomeSchema} from './attemptOutcome.ts';
 
 const versionSchema = z.number().int().min(0);
@@ -424,6 +425,8 @@
   requestName: z.string(),
   /** Announced size of the request's body, in bytes; 0 if unknown. */
   bodyBytes: z.number().min(0),
+  /** Notices that servers of the backend sent to the sender; absent for none. */
+  notices: z.array(noticeReportSchema).optional(),
 });
 
 /** Reply to `placeAsk`: a server, a place in the queue, or a refusal. */
@@ -449,6 +452,8 @@
   outcome: attemptOutcomeSchema,
   /** Time for which the attempt ran, in ms. */
   ranForMs: z.number().min(0),
+  /** What the server stated about itself; absent if it did not respond. */
+  notice: serverNoticeSchema.optional(),
 });
 
 /** The sender does not need the server of a query any more. */
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -44,6 +44,7 @@
 /** A backend server responded; reports what it states about itself, at the head of the response. */
 export const serverNoticedSchema = z.object({
   type: z.literal('serverNoticed'),
+  requestId: requestIdSchema,
   serverId: z.string(),
   notice: serverNoticeSchema,
 });
--- a/packages/core/src/messages/serverNotice.ts
+++ b/packages/core/src/messages/serverNotice.ts
@@ -6,4 +6,13 @@
   limitPerSecond: z.number().min(0).optional(),
 });
 
+/** A notice that a host received from a server some time ago. */
+export const noticeReportSchema = z.object({
+  serverId: z.string(),
+  notice: serverNoticeSchema,
+  /** Time since the response with the notice, in ms. */
+  ageMs: z.number().min(0),
+});
+
 export type ServerNotice = z.infer<typeof serverNoticeSchema>;
+export type NoticeReport = z.infer<typeof noticeReportSchema>;
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -1,8 +1,9 @@
-import type {Backend, DiscoveredServer, FleetDocument} from '@godwitspring/document';
+import type {DiscoveredServer, FleetDocument} from '@godwitspring/document';
 import type {FleetBounds} from '../fleet/fleetBounds.ts';
 import type {RegisteredServersChanged} from '../messages/hostMessages.ts';
-import type {PlaceAsk, PlaceHello} from '../messages/peerMessages.ts';
+import type {PlaceAsk, PlaceEnded, PlaceHello} from '../messages/peerMessages.ts';
 import type {AttemptOutcome} from '../messages/attemptOutcome.ts';
+import {ServerAvailability} from './serverAvailability.ts';
 import {PoisonRequestDetector} from './poisonRequestDetector.ts';
 import {QueueAdmission} from './queueAdmission.ts';
 import type {ExpiredQuery} from './queueAdmission.ts';
@@ -39,17 +40,10 @@
 const unusableRetryMs = 1_000;
 /** Retry-after sent to callers while a backend has no server in service, in ms. */
 const noServerRetryMs = 1_000;
-/**
- * Starts per second allowed on a warm server, as a multiple of the most that the bounds allow on a cold one.
- * A server that turned cold unnoticed runs at half speed, so its slots limit the rate as well.
- */
-const warmStartsFactor = 1.75;
 /** Used share of the retry budget above which no trial requests are sent. */
 const maxRetryUseForTrials = 0.6;
 /** Time after its route's timeout at which an attempt whose end was never reported is dropped, in ms. */
 const lostOutcomeGraceMs = 500;
-/** Time for which a server gets no attempts after another server answered at its address, in ms. */
-const misdirectedAvoidanceMs = 5_000;
 /** Time for which figures over all running attempts are used again, in ms. */
 const overdueValidityMs = 5;
 
@@ -77,13 +71,10 @@
   readonly #retries: RetryWindow;
   readonly #poisonRequests = new PoisonRequestDetector();
   readonly #suspectPaths = new SuspectPaths();
-  readonly #misdirectedUntilMs = new Map<string, number>();
+  readonly #availability: ServerAvailability;
   readonly admission = new QueueAdmission();
   #servers: readonly DiscoveredServer[] = [];
-  #coldUntilMs = new Map<string, number>();
   #lapsedIds: ReadonlySet<string> = new Set();
-  #backend: Backend | undefined;
-  #fleetShare = 1;
   readonly #newServers = new NewServers();
   readonly #survey: RiskSurvey;
   readonly #unservedShare: RecentFigure;
@@ -92,10 +83,12 @@
 
   constructor(options: BackendHomeOptions) {
     this.#options = options;
+    this.#availability = new ServerAvailability(options.bounds);
     const {retryRatio, retryWindowMs, retrySlack} = options.bounds;
     this.#survey = new RiskSurvey({
       riskOf: (serverId) => this.#riskOf(serverId),
       shareAbove: this.#durations.shareAbove,
+      limitPerSecond: (serverId) => this.#availability.limitPerSecond(serverId),
     });
     this.#unservedShare = new RecentFigure(overdueValidityMs, (nowMs) =>
       this.#recentOutcomes.unservedShare(this.#countOverdue(nowMs)),
@@ -112,12 +105,13 @@
    * proportion.
    */
   setFleetShare(share: number): void {
-    this.#fleetShare = share;
+    this.#availability.setFleetShare(share);
   }
 
   /** Applies a new version of the configuration document. */
   setDocument(document: FleetDocument): void {
-    this.#backend = document.backends.find(({id}) => id === this.#options.backendId);
+    const backend = document.backends.find(({id}) => id === this.#options.backendId);
+    this.#availability.setBackend(backend);
     this.#durations.setDocument(document);
   }
 
@@ -140,13 +134,8 @@
         this.#risks.delete(serverId);
       }
     }
-    for (const [serverId, untilMs] of this.#misdirectedUntilMs) {
-      if (untilMs <= nowMs) {
-        this.#misdirectedUntilMs.delete(serverId);
-      }
-    }
     this.#suspectPaths.retainServers(ownIds);
-    this.#coldUntilMs = new Map(own.map(({id, coldForMs}) => [id, nowMs + coldForMs]));
+    this.#availability.setServers(own, nowMs);
   }
 
   /** Number of servers in service, for logs and status. */
@@ -166,6 +155,7 @@
     entryHost: EntryHost,
     nowMs: number,
   ): PlacementDecision {
+    this.#availability.recordReports(query.notices ?? [], nowMs);
     if (query.isRepeat) {
       if (this.#retries.usedShare(nowMs) >= 1) {
         return {
@@ -265,7 +255,7 @@
   }
 
   /** Records the end of an attempt; returns false where the attempt is unknown here. */
-  finishAttempt(key: string, outcome: AttemptOutcome, ranForMs: number, nowMs: number): boolean {
+  finishAttempt(key: string, {outcome, ranForMs, notice}: PlaceEnded, nowMs: number): boolean {
     const attempt = this.#attempts.get(key);
     if (attempt === undefined) {
       return false;
@@ -276,9 +266,13 @@
     serverRisk.running.delete(key);
     if (outcome === 'cancelled' && ranForMs === 0) {
       serverRisk.cancelStart(attempt.startedAtMs);
+      this.#availability.cancelStart(serverId);
       this.#recentOutcomes.recordTurnedAway(nowMs);
       return true;
     }
+    if (notice !== undefined) {
+      this.#availability.recordNotice(serverId, notice, attempt.startedAtMs, nowMs);
+    }
     this.#recordOutcome(serverId, attempt, outcome, ranForMs, nowMs);
     this.#recentOutcomes.record(outcome, nowMs);
     if (outcome === 'ok') {
@@ -289,7 +283,7 @@
       this.#poisonRequests.recordCrash(requestDigest, serverId, nowMs);
     }
     if (outcome === 'misdirected') {
-      this.#misdirectedUntilMs.set(serverId, nowMs + misdirectedAvoidanceMs);
+      this.#availability.recordMisdirected(serverId, nowMs);
     }
     return true;
   }
@@ -365,6 +359,7 @@
     this.#attempts.set(key, attempt);
     serverRisk.start(key, attempt);
     this.#newServers.recordStart(serverId);
+    this.#availability.recordStart(serverId, nowMs);
     this.admission.recordGrant(query, nowMs);
     if (query.isRepeat) {
       this.#retries.recordRetry(nowMs);
@@ -373,6 +368,7 @@
       state: 'granted',
       serverId,
       policy,
+      limitPerSecond: this.#availability.limitPerSecond(serverId),
       risk,
       provenAgoMs,
       secondAfterMs: this.#durations.secondAfterMs(routeId, risk),
@@ -391,7 +387,7 @@
       query,
       maxWaitInTargetMs: this.#durations.maxWaitInTargetMs(routeId, leftMs),
       maxWaitBeforeDeadlineMs: this.#durations.maxWaitBeforeDeadlineMs(routeId, leftMs),
-      expectedStartsPerMs: this.#survey.usableSlots(nowMs) / this.#durations.medianMs(routeId),
+      expectedStartsPerMs: this.#survey.usableStartsPerMs(this.#durations.medianMs(routeId), nowMs),
     };
     const decision = this.admission.admit(key, terms, nowMs);
     return decision.state === 'refused' ? {...decision, kind: 'overloaded'} : decision;
@@ -412,10 +408,8 @@
       const serverRisk = this.#riskOf(server.id);
       const isExcluded =
         query.avoidedIds.includes(server.id) ||
-        serverRisk.running.size >= server.slots ||
-        serverRisk.startsInSecond(nowMs) >= this.#startsPerSecond(server.id, nowMs) ||
-        (this.#misdirectedUntilMs.get(server.id) ?? 0) > nowMs ||
-        serverRisk.isAvoidedBy(hostId, nowMs);
+        serverRisk.isAvoidedBy(hostId, nowMs) ||
+        !this.#availability.mayStart(server, serverRisk, nowMs);
       if (isExcluded) {
         continue;
       }
@@ -435,18 +429,6 @@
     return usableCandidates.length > 0 ? usableCandidates : lapsedCandidates;
   }
 
-  /** Attempts that may start on a server in one second. */
-  #startsPerSecond(serverId: string, nowMs: number): number {
-    const rate = this.#backend?.coldRequestsPerSecond;
-    if (rate === undefined) {
-      return Number.POSITIVE_INFINITY;
-    }
-    const {coldOvershoot, coldSlack} = this.#options.bounds;
-    const isCold = (this.#coldUntilMs.get(serverId) ?? 0) > nowMs;
-    const bound = isCold ? rate : (rate * coldOvershoot + coldSlack - 1) * warmStartsFactor;
-    return Math.max(1, Math.floor(bound * this.#fleetShare));
-  }
-
   #context({bodyBytes, isRepeatable}: PlaceAsk, nowMs: number): PlacementContext {
     return {
       nowMs,
--- a/packages/core/src/placement/placementDecision.ts
+++ b/packages/core/src/placement/placementDecision.ts
@@ -4,6 +4,8 @@
 export interface GrantedPlacement {
   readonly state: 'granted';
   readonly serverId: string;
+  /** Requests per second that the server accepts from the whole fleet; undefined for no limit. */
+  readonly limitPerSecond: number | undefined;
   /** Name of the policy that chose the server. */
   readonly policy: string;
   /** Estimated probability that the attempt fails, 0 to 1. */
--- a/packages/core/src/placement/placementEntryTask.ts
+++ b/packages/core/src/placement/placementEntryTask.ts
@@ -5,11 +5,13 @@
 import type {LiveHost, RegisteredServersChanged} from '../messages/hostMessages.ts';
 import type {PeerMessage, PlaceAnswer, PlaceAsk} from '../messages/peerMessages.ts';
 import type {AttemptOutcome} from '../messages/attemptOutcome.ts';
+import type {ServerNotice} from '../messages/serverNotice.ts';
 import type {ServerNoticed, ServerReleased, ServerWanted} from '../messages/requestMessages.ts';
 import type {HashFunction} from '../hash/hashFunction.ts';
 import type {RandomSource} from '../random/randomSource.ts';
 import {LocalServerSelector} from './localServerSelector.ts';
 import {ServerNotices} from './serverNotices.ts';
+import {ServerRateLimits} from './serverRateLimits.ts';
 
 /** Options of the task that requests servers for this host. */
 export interface PlacementEntryTaskOptions {
@@ -59,6 +61,8 @@
   homeId: string | undefined;
   /** Former homes that counted the attempt and may still do so. */
   readonly formerHomeIds: string[];
+  /** What the server stated about itself; undefined before its response. */
+  notice: ServerNotice | undefined;
 }
 
 /** How the newest attempt of this host on a server ended. */
@@ -102,12 +106,16 @@
   readonly #queryIdByRequest = new Map<number, number>();
   readonly #grants = new Map<string, GrantedAttempt>();
   readonly #notices = new ServerNotices();
+  /** Limits of the servers that this host keeps to while it chooses locally. */
+  readonly #localLimits = new ServerRateLimits();
   readonly #lastOutcomes = new Map<string, LastOutcome>();
   #servers: readonly DiscoveredServer[] = [];
   /** Origins of the servers in service, as far as this host knows. */
   #originById = new Map<string, string>();
   #connectedIds: readonly string[] = [];
   #nextQueryId: number;
+  /** Number of hosts that may use a server at the same time. */
+  #knownHosts = 1;
   #isTimerSet = false;
 
   constructor(options: Partial<PlacementEntryTaskOptions> & RequiredPlacementEntryOptions) {
@@ -134,6 +142,7 @@
         return [];
       case 'rosterChanged':
         this.#homeFinder.setLiveHosts(message.live);
+        this.#knownHosts = Math.max(1, message.knownCount);
         return [
           ...this.#resendOrphanedQueries(message.live, nowMs),
           ...this.#reportToNewHomes(nowMs),
@@ -148,7 +157,9 @@
   }
 
   #onServers({servers, outOfService}: RegisteredServersChanged): readonly CoreMessage[] {
-    this.#notices.retainServers(new Set(servers.map(({id}) => id)));
+    const registeredIds = new Set(servers.map(({id}) => id));
+    this.#notices.retainServers(registeredIds);
+    this.#localLimits.retainServers(registeredIds);
     this.#servers = servers.filter(
       ({state, dataCentre}) => state === 'in-service' && !outOfService.includes(dataCentre),
     );
@@ -180,10 +191,12 @@
   }
 
   #sendQuery({askId, wanted, homeId, deadlineAtMs}: PendingQuery, nowMs: number): CoreMessage {
+    const {backendId} = wanted;
+    const notices = this.#notices.reports(this.#serverIdsOf(backendId), nowMs);
     const message: PlaceAsk = {
       type: 'placeAsk',
       askId,
-      backendId: wanted.backendId,
+      backendId,
       routeId: wanted.routeId ?? '',
       customerId: wanted.customerId ?? '',
       isRepeatable: wanted.isRepeatable,
@@ -195,10 +208,17 @@
       requestDigest: wanted.requestDigest ?? '',
       requestName: wanted.requestName ?? '',
       bodyBytes: wanted.bodyBytes ?? 0,
+      notices: notices.length === 0 ? undefined : notices,
     };
     return {type: 'sendToPeer', toHostId: homeId, message};
   }
 
+  /** Ids of the servers of a backend that are in service. */
+  #serverIdsOf(backendId: string): ReadonlySet<string> {
+    const own = this.#servers.filter((server) => server.backendId === backendId);
+    return new Set(own.map(({id}) => id));
+  }
+
   #onPeerMessage(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
     if (message.type !== 'placeAnswer') {
       return [];
@@ -246,6 +266,7 @@
       startedAtMs: nowMs,
       homeId: query.homeId,
       formerHomeIds: [],
+      notice: undefined,
     });
     return [
       {type: 'serverGranted', requestId, serverId, origin, secondAfterMs, needsNewConnection},
@@ -258,7 +279,9 @@
     for (const {serverId} of this.#grants.values()) {
       runningByServer.set(serverId, (runningByServer.get(serverId) ?? 0) + 1);
     }
-    const servers = this.#servers.filter((server) => server.backendId === backendId);
+    const servers = this.#servers.filter(
+      (server) => server.backendId === backendId && this.#localLimits.mayStart(server.id, nowMs),
+    );
     const isFirstAttempt = wanted.isRepeat !== true;
     const server = isFirstAttempt
       ? this.#localSelector.select(servers, runningByServer, excludedServerIds, nowMs)
@@ -281,7 +304,9 @@
       startedAtMs: nowMs,
       homeId: undefined,
       formerHomeIds: [],
+      notice: undefined,
     });
+    this.#localLimits.recordStart(serverId, 1 / this.#knownHosts, nowMs);
     const count: CoreMessage = {type: 'count', name: 'place.alone', tags: {backend: backendId}};
     return [log, count, {type: 'serverGranted', requestId, serverId, origin}];
   }
@@ -314,14 +339,19 @@
         ranForMs,
       });
     }
-    const {homeId, formerHomeIds, askId} = grant;
-    const message: PeerMessage = {type: 'placeEnded', askId, outcome, ranForMs};
+    const {homeId, formerHomeIds, askId, notice} = grant;
+    const message: PeerMessage = {type: 'placeEnded', askId, outcome, ranForMs, notice};
     const homeIds = homeId === undefined ? [] : [homeId, ...formerHomeIds];
     return homeIds.map((toHostId) => ({type: 'sendToPeer', toHostId, message}));
   }
 
   /** Records what a server states about itself, and logs it where that is new. */
-  #onNoticed({serverId, notice}: ServerNoticed, nowMs: number): readonly CoreMessage[] {
+  #onNoticed({requestId, serverId, notice}: ServerNoticed, nowMs: number): readonly CoreMessage[] {
+    const grant = this.#grants.get(`${requestId}/${serverId}`);
+    if (grant !== undefined) {
+      grant.notice = notice;
+    }
+    this.#recordLocalLimit(serverId, notice, nowMs);
     if (!this.#notices.record(serverId, notice, nowMs)) {
       return [];
     }
@@ -331,6 +361,16 @@
     ];
   }
 
+  #recordLocalLimit(serverId: string, notice: ServerNotice, nowMs: number): void {
+    const {limitPerSecond: perSecond} = notice;
+    if (perSecond === undefined) {
+      this.#localLimits.recordNoLimit(serverId, nowMs);
+      return;
+    }
+    const limit = {perSecond, namedAtMs: nowMs, share: 1 / this.#knownHosts};
+    this.#localLimits.recordLimit(serverId, limit, nowMs);
+  }
+
   #withdraw(requestId: number): readonly CoreMessage[] {
     const askId = this.#queryIdByRequest.get(requestId);
     const query = askId === undefined ? undefined : this.#pendingQueries.get(askId);
--- a/packages/core/src/placement/placementHomeTask.ts
+++ b/packages/core/src/placement/placementHomeTask.ts
@@ -209,7 +209,7 @@
     const key = `${hostId}/${ended.askId}`;
     const home = this.#homeOfKey(key);
     this.#backendByKey.delete(key);
-    if (home === undefined || !home.finishAttempt(key, ended.outcome, ended.ranForMs, nowMs)) {
+    if (home === undefined || !home.finishAttempt(key, ended, nowMs)) {
       return [];
     }
     return this.#serveQueue(home, nowMs);
--- a/packages/core/src/placement/riskSurvey.ts
+++ b/packages/core/src/placement/riskSurvey.ts
@@ -12,6 +12,8 @@
 export interface RiskSurveyOptions {
   readonly riskOf: (serverId: string) => ServerRisk;
   readonly shareAbove: ShareAbove;
+  /** Requests per second that a server accepts; undefined where it names no limit. */
+  readonly limitPerSecond: (serverId: string) => number | undefined;
 }
 
 /** Figures over all servers in service of a backend, with or without a free slot. */
@@ -49,13 +51,19 @@
     return healthy === 0 ? 1 : used / healthy;
   }
 
-  /** Slots of the servers that are likelier to succeed than to fail, at least one. */
-  usableSlots(nowMs: number): number {
-    let slots = 0;
-    for (const server of this.#servers) {
-      slots += this.#riskAt(server.id, nowMs) < usableBelowRisk ? server.slots : 0;
+  /**
+   * Attempts of the given duration that the servers which are likelier to succeed than to fail start per ms, by
+   * their slots and limits; at least as many as one slot starts.
+   */
+  usableStartsPerMs(durationMs: number, nowMs: number): number {
+    let startsPerMs = 0;
+    for (const {id, slots} of this.#servers) {
+      if (this.#riskAt(id, nowMs) < usableBelowRisk) {
+        const limitPerSecond = this.#options.limitPerSecond(id) ?? Number.POSITIVE_INFINITY;
+        startsPerMs += Math.min(slots / durationMs, limitPerSecond / 1_000);
+      }
     }
-    return Math.max(1, slots);
+    return Math.max(1 / durationMs, startsPerMs);
   }
 
   #computeBestRisk(nowMs: number): number {
--- a/packages/core/src/placement/serverNotices.ts
+++ b/packages/core/src/placement/serverNotices.ts
@@ -1,4 +1,4 @@
-import type {ServerNotice} from '../messages/serverNotice.ts';
+import type {NoticeReport, ServerNotice} from '../messages/serverNotice.ts';
 
 /** A notice and the time at which it was received. */
 interface ReceivedNotice {
@@ -6,6 +6,12 @@
   readonly atMs: number;
 }
 
+/**
+ * Age up to which notices are reported, in ms: a server that accepts few requests seldom repeats its notice, and one
+ * without requests never takes it back.
+ */
+const maxReportAgeMs = 30_000;
+
 /** True where a server states nothing that restricts its use. */
 function isUnrestricted({limitPerSecond}: ServerNotice): boolean {
   return limitPerSecond === undefined;
@@ -25,6 +31,18 @@
     return previous?.limitPerSecond !== notice.limitPerSecond;
   }
 
+  /** The notices of the given servers, for the home of their backend. */
+  reports(serverIds: ReadonlySet<string>, nowMs: number): NoticeReport[] {
+    const reports: NoticeReport[] = [];
+    for (const [serverId, {notice, atMs}] of this.#receivedById) {
+      const ageMs = nowMs - atMs;
+      if (serverIds.has(serverId) && ageMs <= maxReportAgeMs) {
+        reports.push({serverId, notice, ageMs});
+      }
+    }
+    return reports;
+  }
+
   /** Drops the notices of servers that are not listed any more. */
   retainServers(serverIds: ReadonlySet<string>): void {
     for (const serverId of this.#receivedById.keys()) {
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -247,7 +247,12 @@
     }
     if (!classification.isMisdirected) {
       const notice = dialect.serverNotice(response.headers);
-      this.#options.postToCore({type: 'serverNoticed', serverId: run.serverId, notice});
+      this.#options.postToCore({
+        type: 'serverNoticed',
+        requestId,
+        serverId: run.serverId,
+        notice,
+      });
     }
     const dropped = dialect.droppedResponseHeaders(notRunHeader);
     const headers = endToEndHeaders(response.headers, dropped);
