Planned stops pass on only requests that can be answered before the end

Cause: admission asked only whether the host still accepts requests, not whether the deadline of a request lies before the end of the process. Requests that still waited for a server were cut too, though 'not run' was true for them. And the drain counted only requests that the core knew: a body that was still being read, or a refusal that was still being sent, did not hold back the close of all connections. Fix: the announcement of a shutdown carries its end. A request whose deadline lies beyond it is refused as not run, at once, so that its caller goes to another host; what still runs at the end is refused with its true outcome; the drain waits for the connections.

--- a/packages/core/src/__tests__/requestTask.test.ts
+++ b/packages/core/src/__tests__/requestTask.test.ts
@@ -190,3 +190,36 @@
     expect(messages).to.deep.equal([{type: 'timerWanted', timerId: 'request:1', atMs: 30_000}]);
   });
 });
+
+describe('RequestTask: an announced shutdown', () => {
+  it('refuses a running attempt at the end with outcome unknown', () => {
+    const task = taskWithRunningAttempt('POST');
+    task.receive({type: 'shutdownAnnounced', endsAtMs: 500}, 10);
+    const messages = task.receive({type: 'timerFired', timerId: 'shutdown'}, 500);
+    expect(findRefusal(messages)).to.include({kind: 'answer-timeout', outcome: 'unknown'});
+  });
+
+  it('refuses a request that waits for a server at the end with outcome not-run', () => {
+    const task = new RequestTask();
+    task.receive({type: 'documentInForce', document, manifest}, 0);
+    task.receive({type: 'freshUntil', untilMs: 10_000}, 0);
+    const request = {requestId: 1, host: 'h', path: '/x', method: 'POST', keyDigest: digest};
+    task.receive({type: 'requestArrived', ...request, isReplayable: true}, 0);
+    task.receive({type: 'shutdownAnnounced', endsAtMs: 500}, 10);
+    const messages = task.receive({type: 'timerFired', timerId: 'shutdown'}, 500);
+    expect(findRefusal(messages)).to.include({kind: 'shutting-down', outcome: 'not-run'});
+  });
+
+  it('admits only requests whose deadline lies before the end', () => {
+    const task = new RequestTask();
+    task.receive({type: 'documentInForce', document, manifest}, 0);
+    task.receive({type: 'freshUntil', untilMs: 10_000}, 0);
+    task.receive({type: 'shutdownAnnounced', endsAtMs: 1_000}, 0);
+    const arrive = (requestId: number, budgetMs: number): readonly CoreMessage[] => {
+      const request = {requestId, host: 'h', path: '/x', method: 'POST', keyDigest: digest};
+      return task.receive({type: 'requestArrived', ...request, isReplayable: true, budgetMs}, 200);
+    };
+    expect(findRefusal(arrive(1, 800))).to.equal(undefined);
+    expect(findRefusal(arrive(2, 801))).to.include({kind: 'shutting-down', outcome: 'not-run'});
+  });
+});
--- a/packages/core/src/messages/hostMessages.ts
+++ b/packages/core/src/messages/hostMessages.ts
@@ -230,8 +230,12 @@
   knownCount: z.number().int(),
 });
 
-/** The process will shut down soon; requests that arrive are still served. */
-export const shutdownAnnouncedSchema = z.object({type: z.literal('shutdownAnnounced')});
+/** The process will shut down soon; requests that arrive are served if their deadline lies before the end. */
+export const shutdownAnnouncedSchema = z.object({
+  type: z.literal('shutdownAnnounced'),
+  /** Moment at which the requests that still run are refused, in ms. */
+  endsAtMs: z.number(),
+});
 
 export type RegistryRead = z.infer<typeof registryReadSchema>;
 export type RegisteredServersChanged = z.infer<typeof registeredServersChangedSchema>;
--- a/packages/core/src/request/admitRequest.ts
+++ b/packages/core/src/request/admitRequest.ts
@@ -20,6 +20,8 @@
   /** True where requests of routes without a key (`openToAll`) are also refused without a fresh view. */
   readonly requiresFreshViewForOpenRoutes: boolean;
   readonly isShuttingDown: boolean;
+  /** Moment at which a shutdown ends the requests that still run, in ms; undefined where none is announced. */
+  readonly shutdownEndsAtMs?: number | undefined;
   /** Requests with a shorter time budget are refused, in ms. */
   readonly minAttemptMs: number;
   /** True where a request was found to crash servers (poison request) and must not be sent again. */
@@ -65,7 +67,7 @@
 function createRequestState(
   message: RequestArrived,
   {route, customer, index}: {route: Route; customer: Customer | undefined; index: DocumentIndex},
-  {minAttemptMs, isBlocked, random, nowMs}: AdmissionContext,
+  {shutdownEndsAtMs, minAttemptMs, isBlocked, random, nowMs}: AdmissionContext,
 ): RequestState | ErrorKind {
   const backend = index.backend(chooseBackend(route, random));
   if (backend === undefined) {
@@ -82,6 +84,9 @@
   if (budgetMs < minAttemptMs) {
     return 'deadline-too-short';
   }
+  if (shutdownEndsAtMs !== undefined && nowMs + budgetMs > shutdownEndsAtMs) {
+    return 'shutting-down';
+  }
   const requestDigest = message.requestDigest ?? '';
   if (isBlocked(requestKey(customer?.id ?? '', route.id, requestDigest))) {
     return 'request-crashes-servers';
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -58,6 +58,7 @@
 
 const deadlineTimerPrefix = 'request:';
 const hedgeTimerPrefix = 'second:';
+const shutdownTimerId = 'shutdown';
 /** Time for which a successful response to a request suspected of crashing servers is reported, in ms. */
 const suspectWatchMs = 60_000;
 /** Number of lost connections to servers after which a request is refused as a poison request. */
@@ -107,7 +108,8 @@
   #index: DocumentIndex | undefined;
   #freshUntilMs = Number.NEGATIVE_INFINITY;
   #isShuttingDown = false;
-  #isShutdownAnnounced = false;
+  /** Moment at which the requests that still run are refused; undefined before a shutdown is announced. */
+  #shutdownEndsAtMs: number | undefined;
 
   constructor({
     maxAttempts = 3,
@@ -153,8 +155,8 @@
         this.#isShuttingDown = true;
         return [];
       case 'shutdownAnnounced':
-        this.#isShutdownAnnounced = true;
-        return [];
+        this.#shutdownEndsAtMs = message.endsAtMs;
+        return [{type: 'timerWanted', timerId: shutdownTimerId, atMs: message.endsAtMs}];
       case 'timerFired':
         return this.#onTimer(message.timerId, nowMs);
       case 'statusWanted':
@@ -165,7 +167,7 @@
   }
 
   #reportStatus(askId: number, nowMs: number): CoreMessage {
-    const isLeaving = this.#isShuttingDown || this.#isShutdownAnnounced;
+    const isLeaving = this.#isShuttingDown || this.#shutdownEndsAtMs !== undefined;
     const value = {
       inProgress: this.#requests.size,
       isReady: this.#index !== undefined && nowMs <= this.#freshUntilMs && !isLeaving,
@@ -222,6 +224,7 @@
       isFresh: nowMs <= this.#freshUntilMs,
       requiresFreshViewForOpenRoutes: this.#options.requiresFreshViewForOpenRoutes,
       isShuttingDown: this.#isShuttingDown,
+      shutdownEndsAtMs: this.#shutdownEndsAtMs,
       minAttemptMs: this.#options.minAttemptMs,
       isBlocked: (key) => this.#blockedRequests.has(key, nowMs),
       random: this.#options.random,
@@ -587,6 +590,9 @@
   }
 
   #onTimer(timerId: string, nowMs: number): readonly CoreMessage[] {
+    if (timerId === shutdownTimerId) {
+      return [...this.#requests.values()].flatMap((request) => this.#onShutdownEnd(request, nowMs));
+    }
     if (timerId.startsWith(hedgeTimerPrefix)) {
       const [requestId, attempt] = timerId.slice(hedgeTimerPrefix.length).split(':');
       return this.#onHedgeTimer(Number(requestId), Number(attempt), nowMs);
@@ -639,6 +645,21 @@
     }
   }
 
+  /** Refuses a request that did not end before the shutdown; a response that is being sent goes on. */
+  #onShutdownEnd(request: RequestState, nowMs: number): readonly CoreMessage[] {
+    switch (request.phase) {
+      case 'claim':
+      case 'server':
+      case 'permit':
+        return this.#refuse(request, 'shutting-down', nowMs);
+      case 'attempt':
+        request.mayHaveRun = true;
+        return this.#refuse(request, 'answer-timeout', nowMs, {}, 'cancelled');
+      case 'delivering':
+        return [];
+    }
+  }
+
   #endRequest(
     request: RequestState,
     outcome: AttemptOutcome,
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -82,7 +82,6 @@
   });
   #server: Server | undefined;
   #nextRequestId = 1;
-  #onDrained: (() => void) | undefined;
   #isShuttingDown = false;
 
   constructor(options: Partial<CallerTaskOptions> & RequiredCallerTaskOptions) {
@@ -150,16 +149,19 @@
 
   /**
    * Accepts no more connections, and closes each connection after the request that runs on it. Resolves once
-   * no request is in progress.
+   * all connections are closed, so that requests that are still being read and refusals that are still being
+   * sent are waited for too.
    */
   async drain(): Promise<void> {
-    this.#server?.close();
-    this.#server?.closeIdleConnections();
-    if (this.#exchanges.size === 0) {
-      return;
-    }
     await new Promise<void>((resolve) => {
-      this.#onDrained = resolve;
+      if (this.#server === undefined) {
+        resolve();
+        return;
+      }
+      this.#server.close(() => {
+        resolve();
+      });
+      this.#server.closeIdleConnections();
     });
   }
 
@@ -341,7 +343,7 @@
       await (this.#mustRecordResponse(exchange)
         ? pipeline(response.body, recorder, outgoing)
         : pipeline(response.body, outgoing));
-      this.#removeExchange(requestId);
+      this.#exchanges.delete(requestId);
       this.#options.postToCore({
         type: 'attemptFinished',
         requestId,
@@ -350,7 +352,7 @@
       });
     } catch {
       // The head was sent already; only a broken connection shows the caller that the response is incomplete.
-      this.#removeExchange(requestId);
+      this.#exchanges.delete(requestId);
       outgoing.destroy();
       this.#options.count('caller.answerBroken');
       this.#options.postToCore({
@@ -373,7 +375,7 @@
     {requestId, outgoing, requestName}: Exchange,
     {status, contentType, body}: StoredResponse,
   ): void {
-    this.#removeExchange(requestId);
+    this.#exchanges.delete(requestId);
     const headers: Record<string, string> = {
       [this.#requestNameHeader]: requestName,
       'idempotent-replay': 'true',
@@ -387,7 +389,7 @@
 
   /** Refuses a request on command of the core; breaks the connection where the response has begun. */
   #refuse(exchange: Exchange, {requestId, kind, outcome, retryAfterMs}: RefuseRequest): void {
-    this.#removeExchange(requestId);
+    this.#exchanges.delete(requestId);
     const {outgoing, incoming, requestName} = exchange;
     if (outgoing.headersSent || outgoing.destroyed) {
       outgoing.destroy();
@@ -428,18 +430,11 @@
   #onClosed(requestId: number): void {
     const exchange = this.#exchanges.get(requestId);
     if (exchange !== undefined && !exchange.outgoing.writableFinished) {
-      this.#removeExchange(requestId);
+      this.#exchanges.delete(requestId);
       this.#options.postToCore({type: 'callerLeft', requestId});
     }
   }
 
-  #removeExchange(requestId: number): void {
-    this.#exchanges.delete(requestId);
-    if (this.#exchanges.size === 0) {
-      this.#onDrained?.();
-    }
-  }
-
   /** Refuses a request that the HTTP parser rejected. */
   #onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
     const kind = error.code === 'HPE_HEADER_OVERFLOW' ? 'head-too-large' : 'malformed-request';
--- a/packages/proxy/src/host/gossipHost.ts
+++ b/packages/proxy/src/host/gossipHost.ts
@@ -75,8 +75,10 @@
  * that the host is no longer ready.
  */
 const acceptShareOfGrace = 0.5;
-/** Part of the grace time that is reserved for closing sockets and ending the process, in ms. */
+/** Part of the grace time that is reserved for refusals, closing sockets and ending the process, in ms. */
 const closeMarginMs = 500;
+/** Time in which the refusals at the end of the grace time are sent, in ms. */
+const lastRefusalsMs = 100;
 /** Limits on callers until the first configuration document is in force, as is typical for web servers. */
 const initialCallerLimits = {maxHeadBytes: 65_536, headTimeoutMs: 10_000, idleTimeoutMs: 15_000};
 /** Wait before a broken connection to a peer is opened again, in ms: a process is up within a second of its start. */
@@ -216,19 +218,20 @@
 
   /**
    * Shuts down within the grace time: reports to the load balancer and the peers that the host stops, still
-   * serves requests that arrive for a while, then waits for the running ones. Requests that are not done by
-   * the end of the grace time are cut.
+   * serves requests that arrive for a while and whose deadline lies before the end, then waits for the running
+   * ones. Requests that are not done shortly before the end of the grace time are refused.
    */
   async stop(): Promise<void> {
     const {graceMs, timers} = this.#options;
     const inProgress = this.#callers.inProgress;
     this.#log.write('info', 'host.stopping', {inProgress, graceMs});
     const endAtMs = timers.nowMs() + graceMs - closeMarginMs;
-    this.#runner.post({type: 'shutdownAnnounced'});
+    this.#runner.post({type: 'shutdownAnnounced', endsAtMs: endAtMs});
     this.#callers.closeConnectionsAfterResponses();
     await this.#waitUntil(timers.nowMs() + graceMs * acceptShareOfGrace);
     const drained = this.#callers.drain().then(() => 'drained');
-    const result = await Promise.race([drained, this.#waitUntil(endAtMs).then(() => 'cut')]);
+    const ended = this.#waitUntil(endAtMs + lastRefusalsMs).then(() => 'cut');
+    const result = await Promise.race([drained, ended]);
     this.#log.write('info', 'host.stopped', {result, inProgress: this.#callers.inProgress});
     await this.#close();
   }
--- a/packages/proxy/src/host/proxyHost.ts
+++ b/packages/proxy/src/host/proxyHost.ts
@@ -37,6 +37,8 @@
 const allowanceReturnMs = 600;
 /** Shortest wait of a shutdown step, in ms. */
 const minWaitMs = 10;
+/** Time in which the refusals at the end of the grace time are sent, in ms. */
+const lastRefusalsMs = 100;
 
 /**
  * A proxy host that reads the host list and its configuration from the platform. Wires the core to the tasks
@@ -161,8 +163,9 @@
     const {settings, log} = this.#options;
     log.info({event: 'host.stopping', inProgress: this.#callers.inProgress});
     const {graceMs, announceMs} = settings.shutdown;
-    const deadline = this.#wait(graceMs).then(() => 'cut' as const);
-    this.#runner.post({type: 'shutdownAnnounced'});
+    const endsAtMs = this.#timers.nowMs() + graceMs;
+    const deadline = this.#wait(graceMs + lastRefusalsMs).then(() => 'cut' as const);
+    this.#runner.post({type: 'shutdownAnnounced', endsAtMs});
     this.#callers.closeConnectionsAfterResponses();
     await this.#wait(Math.min(announceMs, graceMs));
     const drained = this.#callers.drain().then(() => 'drained' as const);
