A second copy of a refusal is not taken for the refusal of the next request

Cause: the connection of a refusal was used again, and a copy of the refusal that the server sent as the next request arrived was read as the response to that request. It says 'not run', so the request was sent again, and its caller was told that it had not run. On the users' platform servers echo the id, and a copy with another id, or none, is dropped as foreign: the two cases that test this stay. Evidence: the new test saw {status: 503, runs: 3} before, {status: 200, runs: 0} after. Fix: a refusal without the name of its attempt ends its connection, so that nothing can follow it there. Servers that echo the name keep their connections.

--- a/packages/proxy/src/__tests__/faultyServers.test.ts
+++ b/packages/proxy/src/__tests__/faultyServers.test.ts
@@ -1,5 +1,6 @@
 import {Agent, request as httpRequest} from 'node:http';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {expect} from 'chai';
 import {SingleHostFixture} from './__fixtures__/singleHostFixture.ts';
 
@@ -9,6 +10,8 @@
 const routeTimeoutMs = 3_000;
 /** Header with the name of a request or attempt. */
 const requestIdHeader = 'x-request-id';
+/** Header by which a server states that it did not run a request. */
+const notRunHeader = 'x-not-run';
 
 /** How a request ended for its caller; `status` is undefined where the connection broke before a response. */
 interface CallResult {
@@ -175,6 +178,56 @@
     expect(isServerConnectionClosed).to.equal(true);
   });
 
+  // Guards against "not run" for a request that ran while its server sent an earlier refusal again.
+  it('takes no second copy of a refusal for the response to a later request', async () => {
+    const refusal = `HTTP/1.1 503 Busy\r\n${notRunHeader}: 1\r\ncontent-length: 0\r\n\r\n`;
+    const refusedSockets = new Set<Socket>();
+    let isRefusing = true;
+    let runs = 0;
+    fixture.onCustomRequest = ({socket}, outgoing) => {
+      if (isRefusing) {
+        refusedSockets.add(socket);
+        socket.write(refusal);
+      } else if (refusedSockets.has(socket)) {
+        runs += 1;
+        socket.write(refusal);
+      } else {
+        outgoing.end('done');
+      }
+    };
+    const agent = new Agent({keepAlive: true});
+    expect((await call(url, agent)).status).to.equal(503);
+    isRefusing = false;
+    // Longer than a connection rests before it is used again.
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    const {status} = await call(url, agent);
+    agent.destroy();
+    expect({status, runs}).to.deep.equal({status: 200, runs: 0});
+  });
+
+  // Guards against a broken response head that reaches the caller as a complete success.
+  it('passes on no success whose head broke off', async () => {
+    const interim = 'HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n';
+    const heads = [
+      'HTTP/1.1 200 OK\r\ncontent-length: 10\r\nx-more: 1\r\n\r\n',
+      'HTTP/1.1 200 OK\r\nconnection: close\r\nx-more: 1\r\n\r\n',
+      'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nconnection: close\r\n\r\n',
+      'HTTP/1.0 200 OK\r\nx-more: 1\r\n\r\n',
+    ];
+    const agent = new Agent();
+    for (const head of heads.flatMap((text) => [text, interim + text])) {
+      const start = head.startsWith(interim) ? interim.length : 0;
+      for (let length = start; length < head.length; length += 1) {
+        fixture.onCustomRequest = ({socket}) => {
+          socket.end(head.slice(0, length));
+        };
+        const {status} = await call(url, agent);
+        expect(status, JSON.stringify(head.slice(0, length))).to.be.oneOf([502, 504]);
+      }
+    }
+    agent.destroy();
+  });
+
   it('cuts no request on a kept connection when it shuts down under load', async () => {
     fixture.onCustomRequest = (_incoming, outgoing) => {
       setTimeout(() => {
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -180,10 +180,11 @@
           }
         },
       });
+      const mayBeReused = !this.#isAnonymousRefusal(run, response);
       response.body.once('close', () => {
         this.#running.delete(attemptKey);
         const isWhole = response.body.readableEnded;
-        if (isWhole) {
+        if (isWhole && mayBeReused) {
           pool.release(connection);
         } else {
           pool.discard(connection);
@@ -201,6 +202,19 @@
     }
   }
 
+  /**
+   * True for a refusal that does not name its attempt. A second copy of it would look like the refusal of the next
+   * request on the connection, which may have run.
+   */
+  #isAnonymousRefusal({notRunHeader}: RunAttempt, response: Dispatcher.ResponseData): boolean {
+    const {dialect} = this.#options;
+    const {statusCode, headers} = response;
+    return (
+      headers[dialect.requestNameHeader] === undefined &&
+      dialect.classifyResponse(statusCode, headers, notRunHeader).reportsNotRun
+    );
+  }
+
   /** Ends an attempt whose server sends interim responses without end, and reports it to the core as malformed. */
   #failForInterimResponses(run: RunAttempt, controller: AbortController): void {
     if (controller.signal.aborted) {
