Hosts that are cut off from all servers serve their requests through other hosts

What callers would see: every request at such a host fails, with 502 after up to four connections that do not open, or 504 on kept connections that hang, while the other hosts serve. Readiness does not help: open connections stay with their host, and a load balancer uses a data centre whose hosts are mostly out anyway. Cause: a host could run attempts only over its own paths to the servers. Fix: connections that do not open to two servers within 3 s, with none that opens, show that a host is cut off. It then relays its attempts: another live host, drawn from all data centres and kept while it works, forwards them to the server that the home granted. Placement, limits, retries and the reading of responses stay with the first host. A relay says when it sent nothing ('x-relay-not-sent'), so that 'not run' stays true; a host that is cut off relays for nobody. A connection to some server is tried at once and each 500 ms; the first that opens ends the relaying.

--- a/packages/bench/src/gray-failure/grayFailureFleet.ts
+++ b/packages/bench/src/gray-failure/grayFailureFleet.ts
@@ -127,6 +127,8 @@
   readonly logs: {atMs: number; hostId: string; event: string; fields: Record<string, unknown>}[] =
     [];
   readonly network: SimulatedNetwork;
+  /** Network paths on which no connection works, as `hostId>serverId`: it is refused, and a kept one is reset. */
+  readonly refusedPaths = new Set<string>();
   /** Number of messages between hosts by type. */
   readonly peerMessageCounts = new Map<string, number>();
   /** Reads of the whole registry, in the order of their start. */
@@ -348,6 +350,9 @@
       case 'startAttempt':
         this.#startAttempt(host, effect);
         return;
+      case 'dialServer':
+        this.#dial(host, effect.serverId);
+        return;
       case 'cancelAttempt':
         this.#pendingRequests
           .get(this.#requestKey(host.id, effect.requestId))
@@ -443,6 +448,18 @@
     });
   }
 
+  #isPathOpen(hostId: string, serverId: string): boolean {
+    const path = `${hostId}>${serverId}`;
+    return !this.silentPaths.has(path) && !this.refusedPaths.has(path);
+  }
+
+  #dial(host: SimulatedHost, serverId: string): void {
+    const isConnected = this.#isPathOpen(host.id, serverId);
+    this.after(isConnected ? this.#options.remoteDelayMs : connectTimeoutMs, () => {
+      host.deliver({type: 'serverDialed', serverId, isConnected});
+    });
+  }
+
   #startAttempt(host: SimulatedHost, attempt: StartAttempt): void {
     const pending = this.#pendingRequests.get(this.#requestKey(host.id, attempt.requestId));
     const server = this.servers.get(attempt.serverId);
@@ -459,20 +476,37 @@
         abandon();
       });
     });
-    if (this.#options.silentPaths.has(`${host.id}>${server.id}`)) {
-      if (attempt.needsNewConnection) {
-        this.after(connectTimeoutMs, () => {
-          const failure = 'connect';
-          host.deliver({
-            type: 'attemptFailed',
-            requestId,
-            attempt: number,
-            failure,
-            mayHaveRun: false,
-          });
+    const {relayHostId} = attempt;
+    const failBeforeSending = (failure: 'connect' | 'relay', afterMs: number): void => {
+      this.after(afterMs, () => {
+        if (failure === 'connect') {
+          host.deliver({type: 'serverDialed', serverId: server.id, isConnected: false});
+        }
+        host.deliver({
+          type: 'attemptFailed',
+          requestId,
+          attempt: number,
+          failure,
+          mayHaveRun: false,
         });
+      });
+    };
+    if (relayHostId !== undefined) {
+      const isRelayUp = this.hosts.get(relayHostId)?.isUp === true;
+      if (!isRelayUp || !this.#isPathOpen(relayHostId, server.id)) {
+        failBeforeSending('relay', connectTimeoutMs);
+        return;
+      }
+    } else if (this.refusedPaths.has(`${host.id}>${server.id}`)) {
+      failBeforeSending('connect', delayMs);
+      return;
+    } else if (this.silentPaths.has(`${host.id}>${server.id}`)) {
+      if (attempt.needsNewConnection) {
+        failBeforeSending('connect', connectTimeoutMs);
       }
       return;
+    } else if (attempt.needsNewConnection) {
+      host.deliver({type: 'serverDialed', serverId: server.id, isConnected: true});
     }
     this.after(delayMs, () => {
       if (isCancelled) {
--- a/packages/core/src/host/gossipCore.ts
+++ b/packages/core/src/host/gossipCore.ts
@@ -3,6 +3,7 @@
 import {PlacementHomeTask} from '../placement/placementHomeTask.ts';
 import {QuotaEntryTask} from '../quota/quotaEntryTask.ts';
 import {QuotaHomeTask} from '../quota/quotaHomeTask.ts';
+import {ReachabilityTask} from '../reachability/reachabilityTask.ts';
 import {RegistryTask} from '../registry/registryTask.ts';
 import {HomeRetryPolicy} from '../request/retryPolicy.ts';
 import {RequestTask} from '../request/requestTask.ts';
@@ -56,6 +57,7 @@
     new QuotaHomeTask({selfId, dataCentre, hash, bounds, isFirstStart}),
     new QuotaEntryTask({hash, bounds, firstNonce}),
     new PlacementEntryTask({selfId, hash, random, firstNonce}),
+    new ReachabilityTask({selfId, random}),
     new RequestTask({
       retryPolicy: new HomeRetryPolicy(),
       requiresFreshViewForOpenRoutes: false,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,6 +23,7 @@
 } from './messages/requestMessages.ts';
 export type {ServerNotice} from './messages/serverNotice.ts';
 export type {SendProbe} from './messages/hostMessages.ts';
+export type {DialServer} from './messages/requestMessages.ts';
 export {responseTable} from './errors/responseTable.ts';
 export type {ErrorResponse} from './errors/responseTable.ts';
 export {errorKindSchema} from './errors/errorKinds.ts';
--- a/packages/core/src/messages/coreMessage.ts
+++ b/packages/core/src/messages/coreMessage.ts
@@ -27,6 +27,7 @@
   host.clockGapDetectedSchema,
   host.seedsChangedSchema,
   request.serverConnectionsSchema,
+  request.serverDialedSchema,
 ]);
 
 /** Effects that the core requests from the host process, such as sending a message or starting a timer. */
@@ -48,6 +49,8 @@
   host.observeSchema,
   host.logSchema,
   host.statusReportedSchema,
+  request.dialServerSchema,
+  request.relayTargetsSchema,
 ]);
 
 /** Messages between the tasks of the core; they never leave the process. */
@@ -71,6 +74,8 @@
   request.requestWithdrawnSchema,
   request.serverLimitsSchema,
   request.serversWithheldSchema,
+  request.relayChangedSchema,
+  request.relayFailedSchema,
   host.documentInForceSchema,
   host.membershipChangedSchema,
   host.freshUntilSchema,
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -52,6 +52,7 @@
 /** Why an attempt ended without a complete response. */
 export const attemptFailureSchema = z.enum([
   'connect',
+  'relay',
   'lost',
   'timeout',
   'malformed',
@@ -292,6 +293,40 @@
   maxBodyBytes: z.number(),
   /** Whether the attempt should be sent over a new connection only. */
   needsNewConnection: z.boolean(),
+  /** Host that relays the attempt to the server; absent where this host sends it itself. */
+  relayHostId: z.string().optional(),
+});
+
+/** Opens a connection to a server and closes it again, to find out whether the server can be reached. */
+export const dialServerSchema = z.object({
+  type: z.literal('dialServer'),
+  serverId: z.string(),
+  origin: z.string(),
+});
+
+/** A connection to a server was opened, or could not be opened. */
+export const serverDialedSchema = z.object({
+  type: z.literal('serverDialed'),
+  serverId: z.string(),
+  isConnected: z.boolean(),
+});
+
+/** The servers to which this host relays attempts of other hosts; replaces the earlier list. */
+export const relayTargetsSchema = z.object({
+  type: z.literal('relayTargets'),
+  targets: z.array(z.object({serverId: z.string(), origin: z.string()})),
+});
+
+/** Another host relays the attempts of this one from now on; none where `relayHostId` is absent. */
+export const relayChangedSchema = z.object({
+  type: z.literal('relayChanged'),
+  relayHostId: z.string().optional(),
+});
+
+/** A host could not be reached to relay an attempt, or did not send it on. */
+export const relayFailedSchema = z.object({
+  type: z.literal('relayFailed'),
+  hostId: z.string(),
 });
 
 /** Sends the response of an attempt to the caller. */
@@ -330,6 +365,7 @@
 export type ServerReleased = z.infer<typeof serverReleasedSchema>;
 export type ServerLimits = z.infer<typeof serverLimitsSchema>;
 export type ServerWanted = z.infer<typeof serverWantedSchema>;
+export type DialServer = z.infer<typeof dialServerSchema>;
 export type StartAttempt = z.infer<typeof startAttemptSchema>;
 export type RefuseRequest = z.infer<typeof refuseRequestSchema>;
 
--- a/packages/core/src/request/attemptOutcomes.ts
+++ b/packages/core/src/request/attemptOutcomes.ts
@@ -8,6 +8,7 @@
 /** Error kind of the refusal that the caller gets, by the failure of an attempt without a complete response. */
 export const errorKindByFailure: Readonly<Record<AttemptFailure, ErrorKind>> = {
   connect: 'connect-failed',
+  relay: 'connect-failed',
   lost: 'answer-lost',
   timeout: 'answer-timeout',
   malformed: 'answer-malformed',
@@ -18,6 +19,7 @@
 /** Outcome that is recorded for the server, by the failure of an attempt. */
 export const outcomeByFailure: Readonly<Record<AttemptFailure, AttemptOutcome>> = {
   connect: 'unreachable',
+  relay: 'unreachable',
   lost: 'lost',
   timeout: 'timeout',
   malformed: 'lost',
--- a/packages/core/src/request/requestState.ts
+++ b/packages/core/src/request/requestState.ts
@@ -28,6 +28,8 @@
   /** Number of the attempt, from 1. */
   readonly attempt: number;
   readonly startedAtMs: number;
+  /** Host that relays it; undefined where this host sends it itself. */
+  readonly relayHostId: string | undefined;
   /** Time from the start to the head of the response, in ms; undefined until it arrives. */
   headLatencyMs: number | undefined;
 }
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -96,6 +96,7 @@
     'freshUntil',
     'shutdownWanted',
     'shutdownAnnounced',
+    'relayChanged',
     'statusWanted',
   ] as const;
 
@@ -107,6 +108,8 @@
   readonly #suspectRequests = new ExpiringKeySet();
   #index: DocumentIndex | undefined;
   #freshUntilMs = Number.NEGATIVE_INFINITY;
+  /** Host that relays the attempts; undefined where this host sends them itself. */
+  #relayHostId: string | undefined;
   #isShuttingDown = false;
   /** Moment at which the requests that still run are refused; undefined before a shutdown is announced. */
   #shutdownEndsAtMs: number | undefined;
@@ -157,6 +160,9 @@
       case 'shutdownAnnounced':
         this.#shutdownEndsAtMs = message.endsAtMs;
         return [{type: 'timerWanted', timerId: shutdownTimerId, atMs: message.endsAtMs}];
+      case 'relayChanged':
+        this.#relayHostId = message.relayHostId;
+        return [];
       case 'timerFired':
         return this.#onTimer(message.timerId, nowMs);
       case 'statusWanted':
@@ -323,7 +329,7 @@
     granted: GrantedServer,
     nowMs: number,
   ): readonly CoreMessage[] {
-    const started = startAttempt(request, granted, nowMs);
+    const started = startAttempt(request, granted, this.#relayHostId, nowMs);
     const {requestId, isIdempotent, isReplayable} = request;
     const messages: CoreMessage[] = [started, ...reportStarted(request, started, nowMs)];
     const {secondAfterMs} = granted;
@@ -456,7 +462,12 @@
       return this.#refuse(request, kind, nowMs, {outcome: 'unknown'}, outcome);
     }
     if (!message.mayHaveRun) {
-      return this.#retryOrRefuse(request, running, outcome, kind, nowMs);
+      const {relayHostId} = running;
+      const reports: CoreMessage[] =
+        message.failure === 'relay' && relayHostId !== undefined
+          ? [{type: 'relayFailed', hostId: relayHostId}]
+          : [];
+      return [...reports, ...this.#retryOrRefuse(request, running, outcome, kind, nowMs)];
     }
     request.mayHaveRun = true;
     if (request.running.size > 1) {
--- a/packages/core/src/request/startAttempt.ts
+++ b/packages/core/src/request/startAttempt.ts
@@ -5,6 +5,7 @@
 export function startAttempt(
   request: RequestState,
   granted: GrantedServer,
+  relayHostId: string | undefined,
   nowMs: number,
 ): StartAttempt {
   request.phase = 'attempt';
@@ -12,7 +13,13 @@
   request.granted = undefined;
   request.isHedgeRequested = false;
   const {attempt} = request;
-  request.running.set(attempt, {...granted, attempt, startedAtMs: nowMs, headLatencyMs: undefined});
+  request.running.set(attempt, {
+    ...granted,
+    attempt,
+    relayHostId,
+    startedAtMs: nowMs,
+    headLatencyMs: undefined,
+  });
   return {
     type: 'startAttempt',
     requestId: request.requestId,
@@ -25,5 +32,6 @@
     mustEchoName: request.backend.echoesRequestId,
     maxBodyBytes: request.route.maxBodyBytes,
     needsNewConnection: granted.needsNewConnection,
+    relayHostId,
   };
 }
--- a/packages/proxy/src/__tests__/__fixtures__/gossipFleetFixture.ts
+++ b/packages/proxy/src/__tests__/__fixtures__/gossipFleetFixture.ts
@@ -103,6 +103,7 @@
           peers: `${ip}:${peerPort}`,
           readiness: `${ip}:8081`,
           admin: `${ip}:9900`,
+          relay: `${ip}:7001`,
         },
         dataCentre,
         seedIds: [`${this.hostIp(1)}:${peerPort}`],
--- /dev/null
+++ b/packages/proxy/src/__tests__/relayTask.test.ts
@@ -0,0 +1,163 @@
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {HostEvent} from '@godwitspring/core';
+import {expect} from 'chai';
+import {BackendTask} from '../backends/backendTask.ts';
+import type {RunAttempt} from '../backends/backendMessages.ts';
+import type {PendingResponse} from '../callers/exchange.ts';
+import {DefaultDialect} from '../dialect/defaultDialect.ts';
+import {RelayTask} from '../relay/relayTask.ts';
+import {SystemTimerService} from '../timer/systemTimerService.ts';
+
+const relayIp = '127.54.1.1';
+const relayPort = 7001;
+const serverIp = '127.54.2.1';
+const serverPort = 8080;
+const connectTimeoutMs = 120;
+
+/** Result of one attempt: the response, or the event by which it failed. */
+type AttemptResult =
+  | {readonly status: number; readonly text: string}
+  | {readonly failure: string; readonly mayHaveRun: boolean};
+
+describe('RelayTask', () => {
+  const timers = new SystemTimerService();
+  const relay = new RelayTask({
+    listenHost: relayIp,
+    listenPort: relayPort,
+    connectTimeoutMs,
+    idleMs: 4_000,
+    timers,
+    count: () => undefined,
+  });
+  let onRequest: (incoming: IncomingMessage, outgoing: ServerResponse) => void;
+  let server: Server;
+  let finish: (result: AttemptResult) => void = () => undefined;
+  const backends = new BackendTask({
+    dialect: new DefaultDialect({keyHeader: 'x-api-key'}),
+    timers,
+    postToCore: (event: HostEvent) => {
+      if (event.type === 'attemptFailed') {
+        finish({failure: event.failure, mayHaveRun: event.mayHaveRun});
+      }
+    },
+    answer: (_requestId: number, {status, body}: PendingResponse) => {
+      let text = '';
+      body.on('data', (chunk: Buffer) => {
+        text += chunk.toString();
+      });
+      body.on('error', () => {
+        finish({failure: 'body', mayHaveRun: true});
+      });
+      body.on('end', () => {
+        finish({status, text});
+      });
+    },
+    count: () => undefined,
+    warn: () => undefined,
+    connectTimeoutMs,
+    relayOriginOf: (hostId) => `http://${hostId}:${relayPort}`,
+  });
+
+  before(async () => {
+    server = createServer((incoming, outgoing) => {
+      onRequest(incoming, outgoing);
+    });
+    await new Promise<void>((resolve) => server.listen(serverPort, serverIp, resolve));
+    await relay.start();
+    relay.setTargets({
+      type: 'relayTargets',
+      targets: [
+        {serverId: 's-1', origin: `http://${serverIp}:${serverPort}`},
+        {serverId: 's-down', origin: `http://${serverIp}:${serverPort + 1}`},
+      ],
+    });
+  });
+
+  after(async () => {
+    await backends.stop();
+    await relay.stop();
+    server.close();
+    server.closeAllConnections();
+    timers.stop();
+  });
+
+  async function run(change: Partial<RunAttempt> = {}): Promise<AttemptResult> {
+    return new Promise((resolve) => {
+      finish = resolve;
+      backends.post({
+        type: 'run',
+        requestId: 1,
+        attempt: 1,
+        attemptName: 'a.1',
+        serverId: 's-1',
+        origin: 'http://127.54.9.9:1',
+        method: 'POST',
+        pathAndQuery: '/x?y=%2F',
+        headers: {'x-request-id': 'a.1'},
+        body: undefined,
+        timeoutMs: 1_000,
+        notRunHeader: 'x-not-run',
+        mustEchoName: false,
+        needsNewConnection: false,
+        relayHostId: relayIp,
+        ...change,
+      });
+    });
+  }
+
+  it('forwards method, path, headers and body, and passes the response back', async () => {
+    onRequest = (incoming, outgoing) => {
+      let body = '';
+      incoming.on('data', (chunk: Buffer) => {
+        body += chunk.toString();
+      });
+      incoming.on('end', () => {
+        const {method, url, headers} = incoming;
+        const seen = {method, url, id: headers['x-request-id'], relay: headers['x-relay-server']};
+        outgoing.statusCode = 201;
+        outgoing.end(JSON.stringify({...seen, body}));
+      });
+    };
+    const result = await run({body: Buffer.from('abc')});
+    expect(result).to.include({status: 201});
+    const seen = JSON.parse('text' in result ? result.text : '') as unknown;
+    expect(seen).to.deep.equal({method: 'POST', url: '/x?y=%2F', id: 'a.1', body: 'abc'});
+  });
+
+  it('reports that nothing was sent to a server that it does not know or does not reach', async () => {
+    for (const serverId of ['s-unknown', 's-down']) {
+      const result = await run({serverId, body: Buffer.from('abc')});
+      expect(result, serverId).to.deep.equal({failure: 'relay', mayHaveRun: false});
+    }
+  });
+
+  it('counts as not sent where the relaying host does not answer', async () => {
+    const result = await run({relayHostId: '127.54.1.9'});
+    expect(result).to.deep.equal({failure: 'relay', mayHaveRun: false});
+  });
+
+  it('breaks off where the server closes before or within its response', async () => {
+    for (const start of ['', 'HTTP/1.1 200 OK\r\ncontent-le', 'HTTP/1.1 200 OK\r\n\r\nab']) {
+      onRequest = ({socket}) => {
+        if (start.endsWith('ab')) {
+          socket.write(start);
+          setTimeout(() => {
+            socket.resetAndDestroy();
+          }, 20);
+          return;
+        }
+        socket.end(start);
+      };
+      const result = await run();
+      expect(result, JSON.stringify(start)).to.include({mayHaveRun: true});
+    }
+  });
+
+  it('passes a refusal of the server on, with the header that says so', async () => {
+    onRequest = (_incoming, outgoing) => {
+      outgoing.writeHead(503, {'x-not-run': '1'}).end();
+    };
+    expect(await run()).to.deep.equal({status: 503, text: ''});
+  });
+});
--- a/packages/proxy/src/backends/backendMessages.ts
+++ b/packages/proxy/src/backends/backendMessages.ts
@@ -1,5 +1,5 @@
 import type {Readable} from 'node:stream';
-import type {SendProbe} from '@godwitspring/core';
+import type {DialServer, SendProbe} from '@godwitspring/core';
 import type {HeaderMap} from '../callers/headers.ts';
 
 /** An attempt to be run on a backend server. */
@@ -21,12 +21,15 @@
   readonly mustEchoName: boolean | undefined;
   /** True where the network path to the server is suspect, so that only a new connection may be used. */
   readonly needsNewConnection: boolean;
+  /** Host that relays the attempt to the server; undefined where this host sends it itself. */
+  readonly relayHostId: string | undefined;
 }
 
 /** Messages to the backend task. */
 export type BackendCommand =
   | RunAttempt
   | SendProbe
+  | DialServer
   | {
       readonly type: 'cancelAttempt';
       readonly requestId: number;
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -8,6 +8,7 @@
 import {Mailbox} from '../task/mailbox.ts';
 import type {TimerService} from '../timer/timerService.ts';
 import type {BackendCommand, RunAttempt} from './backendMessages.ts';
+import {relayNotSentHeader, relayServerHeader} from '../relay/relayHeaders.ts';
 import {bufferResponse} from './bufferResponse.ts';
 import {ServerConnectionPool} from './serverConnectionPool.ts';
 import type {ServerConnection} from './serverConnectionPool.ts';
@@ -34,6 +35,8 @@
   /** Responses up to this size are read completely before they are passed on, in bytes. Default: 0. */
   readonly bufferedResponseBytes: number;
   readonly postToCore: (event: HostEvent) => void;
+  /** Origin at which a host relays attempts. Default: none, for hosts that do not relay. */
+  readonly relayOriginOf: (hostId: string) => string;
   /** Passes a response to the caller task. */
   readonly answer: (requestId: number, answer: PendingResponse) => void;
   readonly count: (name: string, tags?: Record<string, string>) => void;
@@ -47,6 +50,7 @@
   idleMs: 4_000,
   restMs: 0,
   bufferedResponseBytes: 0,
+  relayOriginOf: (): string => '',
 } as const;
 
 type RequiredBackendTaskOptions = Omit<
@@ -69,6 +73,7 @@
 function classifyFailure(
   error: unknown,
   {hasConnected}: ServerConnection,
+  {relayHostId}: RunAttempt,
 ): {failure: AttemptFailure; mayHaveRun: boolean} {
   if (error instanceof BodyLimitError) {
     return {failure: 'body-limit', mayHaveRun: true};
@@ -77,7 +82,7 @@
     return {failure: 'caller', mayHaveRun: true};
   }
   if (!hasConnected) {
-    return {failure: 'connect', mayHaveRun: false};
+    return {failure: relayHostId === undefined ? 'connect' : 'relay', mayHaveRun: false};
   }
   if (error instanceof errors.HeadersTimeoutError || error instanceof errors.BodyTimeoutError) {
     return {failure: 'timeout', mayHaveRun: true};
@@ -127,6 +132,10 @@
       case 'sendProbe':
         void this.#probe(command);
         return;
+      case 'dialServer':
+        this.#serverIdByOrigin.set(command.origin, command.serverId);
+        this.#poolOf(command.origin).dial();
+        return;
     }
   }
 
@@ -141,6 +150,12 @@
         restMs,
         maxIdle: idlePerServer,
         timers,
+        onDialed: (isConnected) => {
+          const serverId = this.#serverIdByOrigin.get(origin);
+          if (serverId !== undefined) {
+            this.#options.postToCore({type: 'serverDialed', serverId, isConnected});
+          }
+        },
         onStrayBytes: () => {
           const serverId = this.#serverIdByOrigin.get(origin) ?? '';
           this.#options.count('server.strayBytes', {server: serverId});
@@ -154,13 +169,17 @@
 
   /** Sends an attempt to its server and reports a failure to the core. */
   async #run(run: RunAttempt): Promise<void> {
-    const {requestId, attempt, origin} = run;
+    const {requestId, attempt, relayHostId} = run;
+    const isRelayed = relayHostId !== undefined;
+    const origin = isRelayed ? this.#options.relayOriginOf(relayHostId) : run.origin;
     const attemptKey = `${requestId}.${attempt}`;
     const controller = new AbortController();
     this.#running.set(attemptKey, controller);
-    this.#serverIdByOrigin.set(origin, run.serverId);
+    if (!isRelayed) {
+      this.#serverIdByOrigin.set(origin, run.serverId);
+    }
     const pool = this.#poolOf(origin);
-    const connection = pool.acquire({isNew: run.needsNewConnection});
+    const connection = pool.acquire({isNew: run.needsNewConnection && !isRelayed});
     this.#options.count(connection.hasConnected ? 'server.reused' : 'server.connected');
     this.#reportIdleConnections();
     let interimResponses = 0;
@@ -168,7 +187,7 @@
       const response = await connection.client.request({
         method: run.method as 'GET',
         path: run.pathAndQuery,
-        headers: run.headers,
+        headers: isRelayed ? {...run.headers, [relayServerHeader]: run.serverId} : run.headers,
         body: run.body ?? null,
         signal: controller.signal,
         // The core enforces the timeouts of attempts; the library's timer may fire half a second early.
@@ -196,7 +215,7 @@
       this.#running.delete(attemptKey);
       pool.discard(connection);
       if (!controller.signal.aborted) {
-        const failed = classifyFailure(error, connection);
+        const failed = classifyFailure(error, connection, run);
         this.#options.postToCore({type: 'attemptFailed', requestId, attempt, ...failed});
       }
     }
@@ -250,6 +269,17 @@
     const {requestId, attempt, notRunHeader} = run;
     const {dialect, bufferedResponseBytes} = this.#options;
     const {statusCode: status, body} = response;
+    if (run.relayHostId !== undefined && response.headers[relayNotSentHeader] !== undefined) {
+      body.on('error', () => undefined).destroy();
+      this.#options.postToCore({
+        type: 'attemptFailed',
+        requestId,
+        attempt,
+        failure: 'relay',
+        mayHaveRun: false,
+      });
+      return;
+    }
     const classification = dialect.classifyResponse(status, response.headers, notRunHeader);
     const echoedName = response.headers[dialect.requestNameHeader];
     const isOfOtherAttempt =
--- a/packages/proxy/src/backends/serverConnectionPool.ts
+++ b/packages/proxy/src/backends/serverConnectionPool.ts
@@ -22,6 +22,8 @@
   readonly strayBytesAvoidanceMs: number;
   /** Called where the server sent bytes on a connection on which no request ran. Default: nothing. */
   readonly onStrayBytes: () => void;
+  /** Called where a connection was opened or could not be opened. Default: nothing. */
+  readonly onDialed: (isConnected: boolean) => void;
   /** Most idle connections that are kept open. */
   readonly maxIdle: number;
   readonly timers: TimerService;
@@ -33,6 +35,7 @@
   restMs: 0,
   strayBytesAvoidanceMs: 5_000,
   onStrayBytes: (): void => undefined,
+  onDialed: (): void => undefined,
   dial: (host: string, port: number): Socket =>
     connect({host, port, noDelay: true, keepAlive: true}),
 } as const;
@@ -72,6 +75,8 @@
   readonly #options: ServerConnectionPoolOptions;
   readonly #idle: ServerConnection[] = [];
   readonly #all = new Set<ServerConnection>();
+  /** Connections that are being opened by `dial`. */
+  #dials = 0;
   #noReuseUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: Partial<ServerConnectionPoolOptions> & RequiredServerConnectionPoolOptions) {
@@ -85,7 +90,7 @@
 
   /** True where the pool holds no connection, neither idle nor busy. */
   get isEmpty(): boolean {
-    return this.#all.size === 0;
+    return this.#all.size === 0 && this.#dials === 0;
   }
 
   /** Returns an idle connection, or a new one, which is opened by its first request; always a new one where `isNew`. */
@@ -95,6 +100,20 @@
     return connection;
   }
 
+  /** Opens a connection and closes it again, to find out whether that works. */
+  dial(): void {
+    const {hostname, port} = new URL(this.#options.origin);
+    this.#dials += 1;
+    this.#open(
+      {hostname, port},
+      (_failure, socket) => {
+        this.#dials -= 1;
+        socket?.destroy();
+      },
+      () => undefined,
+    );
+  }
+
   /** Returns a connection to the pool after a complete response. */
   release(connection: ServerConnection): void {
     connection.isBusy = false;
@@ -183,11 +202,11 @@
 
   /** Opens a socket within the timeout; the client library's own connect timer may fire most of a second late. */
   #open(
-    {hostname, port}: buildConnector.Options,
+    {hostname, port}: Pick<buildConnector.Options, 'hostname' | 'port'>,
     callback: buildConnector.Callback,
     onReset: () => void,
   ): void {
-    const {dial, timers, connectTimeoutMs} = this.#options;
+    const {dial, timers, connectTimeoutMs, onDialed} = this.#options;
     const socket = dial(hostname, port === '' ? defaultPort : Number(port));
     let isOpen = false;
     const timeout = timers.at(timers.nowMs() + connectTimeoutMs, () => {
@@ -202,11 +221,13 @@
     socket.once('connect', () => {
       timeout.cancel();
       isOpen = true;
+      onDialed(true);
       callback(null, socket);
     });
     socket.on('error', (failure: NodeJS.ErrnoException) => {
       timeout.cancel();
       if (!isOpen) {
+        onDialed(false);
         callback(failure, null);
       } else if (failure.syscall !== undefined) {
         // The client library destroys sockets with errors of its own; only system errors have `syscall` set.
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -295,6 +295,7 @@
       notRunHeader: command.notRunHeader,
       mustEchoName: command.mustEchoName,
       needsNewConnection: command.needsNewConnection,
+      relayHostId: command.relayHostId,
     });
   }
 
--- a/packages/proxy/src/host/gossipHost.ts
+++ b/packages/proxy/src/host/gossipHost.ts
@@ -13,10 +13,11 @@
 import {ReadinessTask} from '../readiness/readinessTask.ts';
 import type {RegistrySource} from '../registry/registrySource.ts';
 import {RegistryWatchTask} from '../registry/registryWatchTask.ts';
+import {RelayTask} from '../relay/relayTask.ts';
 import {SuspensionDetector} from '../timer/suspensionDetector.ts';
 import type {TimerService} from '../timer/timerService.ts';
 import {CoreRunner} from './coreRunner.ts';
-import {listenAddress} from './splitAddress.ts';
+import {listenAddress, splitAddress} from './splitAddress.ts';
 
 /** Addresses at which a host listens, as `IP:port`. */
 export interface GossipHostAddresses {
@@ -27,6 +28,8 @@
   readonly readiness: string;
   /** Address for operators: status, counters and metrics. */
   readonly admin: string;
+  /** Address at which attempts of hosts that are cut off from the servers arrive; the port is equal on all hosts. */
+  readonly relay: string;
 }
 
 /** Settings and collaborators of a host that finds its peers by gossip. */
@@ -101,12 +104,14 @@
   readonly #registry: RegistryWatchTask;
   readonly #readiness: ReadinessTask;
   readonly #admin: AdminTask;
+  readonly #relay: RelayTask;
   readonly #suspensionDetector: SuspensionDetector;
 
   constructor(options: GossipHostOptions) {
     this.#options = options;
     const {addresses, dialect, timers, log, source} = options;
     const selfId = addresses.peers;
+    const {port: relayPort} = splitAddress(addresses.relay);
     this.#log = new RateLimitedLog({log, timers});
     this.#metrics = new MetricsTask();
     const postToCore: CoreRunner['post'] = (event) => {
@@ -145,6 +150,7 @@
       bufferedResponseBytes,
       connectTimeoutMs,
       idleMs,
+      relayOriginOf: (hostId) => `http://${splitAddress(hostId).host}:${relayPort}`,
       answer: (requestId, answer) => {
         this.#callers.post({type: 'answerArrived', requestId, answer});
       },
@@ -172,6 +178,13 @@
         this.#onPeerReport(report);
       },
     });
+    this.#relay = new RelayTask({
+      ...listenAddress(addresses.relay),
+      connectTimeoutMs,
+      idleMs,
+      timers,
+      count,
+    });
     this.#registry = new RegistryWatchTask({source, timers, postToCore, count});
     this.#readiness = new ReadinessTask({
       ...listenAddress(addresses.readiness),
@@ -208,6 +221,7 @@
   async start(): Promise<void> {
     await this.#admin.start();
     await this.#peers.start();
+    await this.#relay.start();
     await this.#callers.start();
     await this.#readiness.start();
     this.#suspensionDetector.start();
@@ -229,7 +243,7 @@
     this.#runner.post({type: 'shutdownAnnounced', endsAtMs: endAtMs});
     this.#callers.closeConnectionsAfterResponses();
     await this.#waitUntil(timers.nowMs() + graceMs * acceptShareOfGrace);
-    const drained = this.#callers.drain().then(() => 'drained');
+    const drained = Promise.all([this.#callers.drain(), this.#relay.drain()]).then(() => 'drained');
     const ended = this.#waitUntil(endAtMs + lastRefusalsMs).then(() => 'cut');
     const result = await Promise.race([drained, ended]);
     this.#log.write('info', 'host.stopped', {result, inProgress: this.#callers.inProgress});
@@ -241,6 +255,7 @@
     this.#callers.stop();
     this.#readiness.stop();
     this.#admin.stop();
+    await this.#relay.stop();
     await this.#peers.stop();
     await this.#options.source.stop();
     await this.#backends.stop();
@@ -264,8 +279,12 @@
         return;
       case 'cancelAttempt':
       case 'sendProbe':
+      case 'dialServer':
         this.#backends.post(effect);
         return;
+      case 'relayTargets':
+        this.#relay.setTargets(effect);
+        return;
       case 'watchRegistry':
         this.#registry.setEnabled(effect.isWanted, effect.afterRevision);
         return;
--- /dev/null
+++ b/packages/proxy/src/relay/relayTask.ts
@@ -0,0 +1,203 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import {pipeline} from 'node:stream/promises';
+import type {HostEffect} from '@godwitspring/core';
+import {bufferResponse} from '../backends/bufferResponse.ts';
+import {ServerConnectionPool} from '../backends/serverConnectionPool.ts';
+import {endToEndHeaders} from '../callers/headers.ts';
+import {listenOn} from '../task/listenOn.ts';
+import type {TimerService} from '../timer/timerService.ts';
+import {relayNotSentHeader, relayServerHeader} from './relayHeaders.ts';
+
+/** Effect of the core that lists the servers to which attempts are relayed. */
+export type RelayTargets = Extract<HostEffect, {type: 'relayTargets'}>;
+
+/** Settings and collaborators of the relay task. */
+export interface RelayTaskOptions {
+  readonly listenHost: string;
+  readonly listenPort: number;
+  /** Longest wait for a new connection to a server, in ms. */
+  readonly connectTimeoutMs: number;
+  /** Time after which an idle connection to a server is closed, in ms. */
+  readonly idleMs: number;
+  /** Most idle connections kept open to one server. Default: 4. */
+  readonly idlePerServer: number;
+  /** Responses up to this size are read completely before they are passed on, in bytes. Default: 65,536. */
+  readonly bufferedResponseBytes: number;
+  readonly timers: TimerService;
+  readonly count: (name: string, tags?: Record<string, string>) => void;
+}
+
+export const DEFAULT_RELAY_TASK_OPTIONS = {
+  idlePerServer: 4,
+  bufferedResponseBytes: 65_536,
+} as const;
+
+type RequiredRelayTaskOptions = Omit<RelayTaskOptions, keyof typeof DEFAULT_RELAY_TASK_OPTIONS>;
+
+/** Time after which an idle connection of another host is closed, in ms: later than that host closes it. */
+const keepAliveTimeoutMs = 60_000;
+/** Largest head of an attempt, in bytes: that of a caller and the headers that a host adds. */
+const maxHeadBytes = 131_072;
+
+/**
+ * Owns the port at which attempts of hosts that are cut off from the backend servers arrive, and forwards them. It
+ * decides nothing: the host that received the request has placed it and interprets the response.
+ */
+export class RelayTask {
+  readonly #options: RelayTaskOptions;
+  readonly #originByServerId = new Map<string, string>();
+  readonly #poolByOrigin = new Map<string, ServerConnectionPool>();
+  #server: Server | undefined;
+  #isDraining = false;
+
+  constructor(options: Partial<RelayTaskOptions> & RequiredRelayTaskOptions) {
+    this.#options = {...DEFAULT_RELAY_TASK_OPTIONS, ...options};
+  }
+
+  /** Opens the port; fails where the address is in use. */
+  async start(): Promise<void> {
+    const {listenHost, listenPort} = this.#options;
+    const server = createServer(
+      {
+        maxHeaderSize: maxHeadBytes,
+        keepAliveTimeout: keepAliveTimeoutMs,
+        requestTimeout: 0,
+      },
+      (incoming, outgoing) => {
+        void this.#onAttempt(incoming, outgoing);
+      },
+    );
+    this.#server = server;
+    await listenOn(server, {listenHost, listenPort});
+  }
+
+  /** Replaces the servers to which attempts are relayed. */
+  setTargets({targets}: RelayTargets): void {
+    this.#originByServerId.clear();
+    const origins = new Set<string>();
+    for (const {serverId, origin} of targets) {
+      this.#originByServerId.set(serverId, origin);
+      origins.add(origin);
+    }
+    for (const [origin, pool] of this.#poolByOrigin) {
+      if (pool.isEmpty && !origins.has(origin)) {
+        this.#poolByOrigin.delete(origin);
+      }
+    }
+  }
+
+  /** Accepts no more connections, and resolves once the attempts that run have ended. */
+  async drain(): Promise<void> {
+    this.#isDraining = true;
+    await new Promise<void>((resolve) => {
+      if (this.#server === undefined) {
+        resolve();
+        return;
+      }
+      this.#server.close(() => {
+        resolve();
+      });
+      this.#server.closeIdleConnections();
+    });
+  }
+
+  /** Closes all connections at once. */
+  async stop(): Promise<void> {
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+    for (const pool of this.#poolByOrigin.values()) {
+      await pool.destroy();
+    }
+  }
+
+  async #onAttempt(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    if (this.#isDraining) {
+      outgoing.shouldKeepAlive = false;
+    }
+    const serverId = String(incoming.headers[relayServerHeader]);
+    const origin = this.#originByServerId.get(serverId);
+    if (origin === undefined) {
+      this.#refuse(incoming, outgoing, 'unknown-server');
+      return;
+    }
+    await this.#forward(incoming, outgoing, origin);
+  }
+
+  async #forward(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    origin: string,
+  ): Promise<void> {
+    const {bufferedResponseBytes, count} = this.#options;
+    const pool = this.#poolOf(origin);
+    const connection = pool.acquire();
+    const controller = new AbortController();
+    outgoing.once('close', () => {
+      if (!outgoing.writableFinished) {
+        controller.abort();
+      }
+    });
+    try {
+      const response = await connection.client.request({
+        method: incoming.method as 'GET',
+        path: incoming.url ?? '/',
+        headers: endToEndHeaders(incoming.headers, [relayServerHeader]),
+        body: hasBody(incoming) ? incoming : null,
+        signal: controller.signal,
+        // The host that placed the attempt enforces its timeout.
+        headersTimeout: 0,
+      });
+      const body = await bufferResponse(response.body, {
+        maxBytes: bufferedResponseBytes,
+        wasReset: () => connection.wasReset,
+      });
+      outgoing.writeHead(response.statusCode, endToEndHeaders(response.headers));
+      await pipeline(body, outgoing);
+      pool.release(connection);
+      count('relay.forwarded');
+    } catch (error) {
+      pool.discard(connection);
+      if (!connection.hasConnected && !outgoing.headersSent) {
+        this.#refuse(incoming, outgoing, 'unreachable');
+        return;
+      }
+      count('relay.broken', {reason: error instanceof Error ? error.name : 'unknown'});
+      outgoing.destroy();
+    }
+  }
+
+  /** Tells the other host that no byte of its attempt was sent. */
+  #refuse(incoming: IncomingMessage, outgoing: ServerResponse, reason: string): void {
+    this.#options.count('relay.refused', {reason});
+    if (outgoing.destroyed) {
+      return;
+    }
+    // The rest of the body is not read, so the connection cannot carry another attempt.
+    outgoing.shouldKeepAlive &&= incoming.complete || !hasBody(incoming);
+    outgoing.writeHead(502, {[relayNotSentHeader]: reason, 'content-length': '0'});
+    outgoing.end();
+  }
+
+  #poolOf(origin: string): ServerConnectionPool {
+    let pool = this.#poolByOrigin.get(origin);
+    if (pool === undefined) {
+      const {connectTimeoutMs, idleMs, idlePerServer, timers} = this.#options;
+      pool = new ServerConnectionPool({
+        origin,
+        connectTimeoutMs,
+        idleMs,
+        maxIdle: idlePerServer,
+        timers,
+      });
+      this.#poolByOrigin.set(origin, pool);
+    }
+    return pool;
+  }
+}
+
+/** True where the request has a body, by its head. */
+function hasBody({headers}: IncomingMessage): boolean {
+  const length = headers['content-length'];
+  return (length !== undefined && length !== '0') || headers['transfer-encoding'] !== undefined;
+}
