Hosts that relay keep to what servers stated to them

What servers would see: a server that told a host to wait, or that it leaves, gets the attempts that this host relays for others, which did not hear it. Cause: only the host that placed an attempt kept the notices of servers. Fix: a relay reads the notices of the responses that it forwards and leaves servers that want nothing of it out of its targets; the other host then turns to another relay.

--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -44,7 +44,8 @@
 /** A backend server responded; reports what it states about itself, at the head of the response. */
 export const serverNoticedSchema = z.object({
   type: z.literal('serverNoticed'),
-  requestId: requestIdSchema,
+  /** Request of this host that the server answered; absent where this host relayed the attempt of another one. */
+  requestId: requestIdSchema.optional(),
   serverId: z.string(),
   notice: serverNoticeSchema,
 });
--- a/packages/core/src/placement/placementEntryTask.ts
+++ b/packages/core/src/placement/placementEntryTask.ts
@@ -367,7 +367,7 @@
 
   /** Records what a server states about itself, and logs it where that is new. */
   #onNoticed({requestId, serverId, notice}: ServerNoticed, nowMs: number): readonly CoreMessage[] {
-    const grant = this.#grants.get(`${requestId}/${serverId}`);
+    const grant = this.#grants.get(`${requestId ?? ''}/${serverId}`);
     if (grant !== undefined) {
       grant.notice = notice;
     }
--- a/packages/core/src/reachability/reachabilityTask.ts
+++ b/packages/core/src/reachability/reachabilityTask.ts
@@ -2,6 +2,8 @@
 import type {CoreTask} from '../host/coreTask.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
 import type {RegisteredServersChanged} from '../messages/hostMessages.ts';
+import type {ServerNoticed} from '../messages/requestMessages.ts';
+import {ServerNotices} from '../placement/serverNotices.ts';
 import type {RandomSource} from '../random/randomSource.ts';
 import {RelaySelector} from './relaySelector.ts';
 import {ServerReachability} from './serverReachability.ts';
@@ -21,7 +23,8 @@
   keyof typeof DEFAULT_REACHABILITY_TASK_OPTIONS
 >;
 
-const timerId = 'reachability.dial';
+const dialTimerId = 'reachability.dial';
+const targetsTimerId = 'reachability.targets';
 
 /**
  * Watches whether this host reaches the backend servers. While it is cut off from them, its attempts are relayed by
@@ -31,6 +34,7 @@
   readonly accepts = [
     'serverDialed',
     'relayFailed',
+    'serverNoticed',
     'registeredServersChanged',
     'rosterChanged',
     'timerFired',
@@ -39,6 +43,8 @@
   readonly #options: ReachabilityTaskOptions;
   readonly #reachability = new ServerReachability();
   readonly #relays: RelaySelector;
+  /** What the servers stated to this host; it binds attempts that this host relays too. */
+  readonly #notices = new ServerNotices();
   #servers: readonly DiscoveredServer[] = [];
   #relayHostId: string | undefined;
 
@@ -60,24 +66,45 @@
         this.#relays.setLiveHosts(message.live, this.#options.selfId);
         return this.#updateRelay(nowMs);
       case 'registeredServersChanged':
-        return this.#onServers(message);
+        return this.#onServers(message, nowMs);
+      case 'serverNoticed':
+        return this.#onNoticed(message, nowMs);
       case 'timerFired':
-        return message.timerId === timerId ? this.#onTimer(nowMs) : [];
+        return this.#onTimer(message.timerId, nowMs);
       default:
         return [];
     }
   }
 
-  #onServers({servers, outOfService}: RegisteredServersChanged): readonly CoreMessage[] {
+  #onServers(
+    {servers, outOfService}: RegisteredServersChanged,
+    nowMs: number,
+  ): readonly CoreMessage[] {
+    this.#notices.setServers(servers);
     this.#servers = servers.filter(
       ({state, dataCentre}) => state === 'in-service' && !outOfService.includes(dataCentre),
     );
-    return [this.#createRelayTargets()];
+    return [this.#createRelayTargets(nowMs)];
+  }
+
+  /** Relays nothing to a server that leaves or wants no requests of this host for a time. */
+  #onNoticed({serverId, notice}: ServerNoticed, nowMs: number): readonly CoreMessage[] {
+    this.#notices.record(serverId, notice, nowMs);
+    const usableAtMs = this.#notices.usableAtMs(serverId, nowMs);
+    if (usableAtMs <= nowMs) {
+      return [];
+    }
+    const targets = this.#createRelayTargets(nowMs);
+    return Number.isFinite(usableAtMs)
+      ? [targets, {type: 'timerWanted', timerId: targetsTimerId, atMs: usableAtMs}]
+      : [targets];
   }
 
   /** Servers to which this host relays for others; none while it is cut off itself. */
-  #createRelayTargets(): CoreMessage {
-    const servers = this.#reachability.isCutOff ? [] : this.#servers;
+  #createRelayTargets(nowMs: number): CoreMessage {
+    const servers = this.#reachability.isCutOff
+      ? []
+      : this.#servers.filter(({id}) => this.#notices.mayUse(id, nowMs));
     return {type: 'relayTargets', targets: servers.map(({id, origin}) => ({serverId: id, origin}))};
   }
 
@@ -87,7 +114,7 @@
     return [
       {type: 'log', level: 'warn', event, fields: {servers: this.#servers.length}},
       {type: 'count', name: event, tags: {}},
-      this.#createRelayTargets(),
+      this.#createRelayTargets(nowMs),
       ...this.#updateRelay(nowMs),
       ...(isCutOff ? this.#dialAndWait(nowMs) : []),
     ];
@@ -106,8 +133,11 @@
     ];
   }
 
-  #onTimer(nowMs: number): readonly CoreMessage[] {
-    return this.#reachability.isCutOff
+  #onTimer(timerId: string, nowMs: number): readonly CoreMessage[] {
+    if (timerId === targetsTimerId) {
+      return [this.#createRelayTargets(nowMs)];
+    }
+    return timerId === dialTimerId && this.#reachability.isCutOff
       ? [...this.#updateRelay(nowMs), ...this.#dialAndWait(nowMs)]
       : [];
   }
@@ -115,7 +145,11 @@
   /** Tries a connection to a random server, and again after the interval. */
   #dialAndWait(nowMs: number): readonly CoreMessage[] {
     const {random, dialIntervalMs} = this.#options;
-    const timer: CoreMessage = {type: 'timerWanted', timerId, atMs: nowMs + dialIntervalMs};
+    const timer: CoreMessage = {
+      type: 'timerWanted',
+      timerId: dialTimerId,
+      atMs: nowMs + dialIntervalMs,
+    };
     const server = this.#servers[random.nextInt(Math.max(1, this.#servers.length))];
     return server === undefined
       ? [timer]
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -184,7 +184,8 @@
 
   /** Handles messages that belong to a request in progress. */
   #onRequestMessage(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
-    const request = 'requestId' in message ? this.#requests.get(message.requestId) : undefined;
+    const requestId = 'requestId' in message ? message.requestId : undefined;
+    const request = requestId === undefined ? undefined : this.#requests.get(requestId);
     if (request === undefined) {
       return [];
     }
--- a/packages/proxy/src/__tests__/relayTask.test.ts
+++ b/packages/proxy/src/__tests__/relayTask.test.ts
@@ -22,12 +22,17 @@
 
 describe('RelayTask', () => {
   const timers = new SystemTimerService();
+  const relayEvents: HostEvent[] = [];
   const relay = new RelayTask({
     listenHost: relayIp,
     listenPort: relayPort,
     connectTimeoutMs,
     idleMs: 4_000,
+    dialect: new DefaultDialect({keyHeader: 'x-api-key'}),
     timers,
+    postToCore: (event) => {
+      relayEvents.push(event);
+    },
     count: () => undefined,
   });
   let onRequest: (incoming: IncomingMessage, outgoing: ServerResponse) => void;
@@ -160,4 +165,14 @@
     };
     expect(await run()).to.deep.equal({status: 503, text: ''});
   });
+
+  it('reports to its own core what servers state in the responses that it relays', async () => {
+    onRequest = (_incoming, outgoing) => {
+      outgoing.writeHead(200, {'server-leaving': '1'}).end();
+    };
+    await run();
+    const [event] = relayEvents.slice(-1);
+    expect(event).to.deep.include({type: 'serverNoticed', serverId: 's-1'});
+    expect(event).to.have.nested.property('notice.isLeaving', true);
+  });
 });
--- a/packages/proxy/src/host/gossipHost.ts
+++ b/packages/proxy/src/host/gossipHost.ts
@@ -182,7 +182,9 @@
       ...listenAddress(addresses.relay),
       connectTimeoutMs,
       idleMs,
+      dialect,
       timers,
+      postToCore,
       count,
     });
     this.#registry = new RegistryWatchTask({source, timers, postToCore, count});
--- a/packages/proxy/src/relay/relayTask.ts
+++ b/packages/proxy/src/relay/relayTask.ts
@@ -1,10 +1,11 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
 import {pipeline} from 'node:stream/promises';
-import type {HostEffect} from '@godwitspring/core';
+import type {HostEffect, HostEvent} from '@godwitspring/core';
 import {bufferResponse} from '../backends/bufferResponse.ts';
 import {ServerConnectionPool} from '../backends/serverConnectionPool.ts';
 import {endToEndHeaders} from '../callers/headers.ts';
+import type {HttpDialect} from '../dialect/httpDialect.ts';
 import {listenOn} from '../task/listenOn.ts';
 import type {TimerService} from '../timer/timerService.ts';
 import {relayNotSentHeader, relayServerHeader} from './relayHeaders.ts';
@@ -24,7 +25,10 @@
   readonly idlePerServer: number;
   /** Responses up to this size are read completely before they are passed on, in bytes. Default: 65,536. */
   readonly bufferedResponseBytes: number;
+  /** Interpretation of what servers state in their responses. */
+  readonly dialect: Pick<HttpDialect, 'serverNotice'>;
   readonly timers: TimerService;
+  readonly postToCore: (event: HostEvent) => void;
   readonly count: (name: string, tags?: Record<string, string>) => void;
 }
 
@@ -121,15 +125,15 @@
       this.#refuse(incoming, outgoing, 'unknown-server');
       return;
     }
-    await this.#forward(incoming, outgoing, origin);
+    await this.#forward(incoming, outgoing, {serverId, origin});
   }
 
   async #forward(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
-    origin: string,
+    {serverId, origin}: RelayTargets['targets'][number],
   ): Promise<void> {
-    const {bufferedResponseBytes, count} = this.#options;
+    const {bufferedResponseBytes, dialect, postToCore, count} = this.#options;
     const pool = this.#poolOf(origin);
     const connection = pool.acquire();
     const controller = new AbortController();
@@ -148,6 +152,8 @@
         // The host that placed the attempt enforces its timeout.
         headersTimeout: 0,
       });
+      const notice = dialect.serverNotice(response.statusCode, response.headers);
+      postToCore({type: 'serverNoticed', serverId, notice});
       const body = await bufferResponse(response.body, {
         maxBytes: bufferedResponseBytes,
         wasReset: () => connection.wasReset,
