Relaying of a host that is cut off, over sockets

Three hosts that find each other, six servers; connections of one host to servers hang, are reset, or live on while new ones are refused. Payments are served, each runs once, and the others relay while connections hang or are reset. The opening of sockets becomes an option of the host, as it was of the connection pool, so that a test can cut it. npx mocha -g 'a host that is cut off from all': 3 passed, 0 failed.

--- a/packages/proxy/src/__tests__/__fixtures__/gossipFleetFixture.ts
+++ b/packages/proxy/src/__tests__/__fixtures__/gossipFleetFixture.ts
@@ -4,6 +4,8 @@
 import {documentSchema} from '@godwitspring/document';
 import type {DiscoveredServer, FleetDocument, RegistryChange} from '@godwitspring/document';
 import {pino} from 'pino';
+import {dialTcp} from '../../backends/serverConnectionPool.ts';
+import type {Dial} from '../../backends/serverConnectionPool.ts';
 import {DefaultDialect} from '../../dialect/defaultDialect.ts';
 import {GossipHost} from '../../host/gossipHost.ts';
 import {loadXxHash} from '../../host/xxHash.ts';
@@ -44,6 +46,8 @@
   readonly hosts: number;
   readonly servers: number;
   readonly graceMs: number;
+  /** Starts to open a socket of a host, by its number, to a server or a relaying host. */
+  readonly dial: (hostNumber: number, ...target: Parameters<Dial>) => ReturnType<Dial>;
 }
 
 /**
@@ -68,7 +72,8 @@
   /** Creates a fleet on the addresses of a loopback network, such as `127.53`. */
   constructor(subnet: string, options: Partial<GossipFleetOptions> = {}) {
     this.#subnet = subnet;
-    this.#options = {hosts: 1, servers: 1, graceMs: 2_000, ...options};
+    const dial: GossipFleetOptions['dial'] = (_hostNumber, ...target) => dialTcp(...target);
+    this.#options = {hosts: 1, servers: 1, graceMs: 2_000, dial, ...options};
   }
 
   hostIp(hostNumber: number): string {
@@ -117,6 +122,7 @@
         bornMs: Date.now() + number,
         capacityCores: 1,
         wallClockMs: () => Date.now(),
+        dial: (...target) => this.#options.dial(number, ...target),
         log: pino({level: 'silent'}),
         hash,
         seed: number,
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -10,8 +10,8 @@
 import type {BackendCommand, RunAttempt} from './backendMessages.ts';
 import {relayNotSentHeader, relayServerHeader} from '../relay/relayHeaders.ts';
 import {bufferResponse} from './bufferResponse.ts';
-import {ServerConnectionPool} from './serverConnectionPool.ts';
-import type {ServerConnection} from './serverConnectionPool.ts';
+import {ServerConnectionPool, dialTcp} from './serverConnectionPool.ts';
+import type {Dial, ServerConnection} from './serverConnectionPool.ts';
 
 /** Settings and collaborators of the backend task. */
 export interface BackendTaskOptions {
@@ -35,6 +35,8 @@
   /** Responses up to this size are read completely before they are passed on, in bytes. Default: 0. */
   readonly bufferedResponseBytes: number;
   readonly postToCore: (event: HostEvent) => void;
+  /** Starts to open a socket to a server or a relaying host. Default: `dialTcp`. */
+  readonly dial: Dial;
   /** Origin at which a host relays attempts. Default: none, for hosts that do not relay. */
   readonly relayOriginOf: (hostId: string) => string;
   /** Passes a response to the caller task. */
@@ -50,6 +52,7 @@
   idleMs: 4_000,
   restMs: 0,
   bufferedResponseBytes: 0,
+  dial: dialTcp,
   relayOriginOf: (): string => '',
 } as const;
 
@@ -142,7 +145,7 @@
   #poolOf(origin: string): ServerConnectionPool {
     let pool = this.#poolByOrigin.get(origin);
     if (pool === undefined) {
-      const {idlePerServer, connectTimeoutMs, idleMs, restMs, timers} = this.#options;
+      const {idlePerServer, connectTimeoutMs, idleMs, restMs, timers, dial} = this.#options;
       pool = new ServerConnectionPool({
         origin,
         connectTimeoutMs,
@@ -150,6 +153,7 @@
         restMs,
         maxIdle: idlePerServer,
         timers,
+        dial,
         onDialed: (isConnected) => {
           const serverId = this.#serverIdByOrigin.get(origin);
           if (serverId !== undefined) {
--- a/packages/proxy/src/backends/serverConnectionPool.ts
+++ b/packages/proxy/src/backends/serverConnectionPool.ts
@@ -5,6 +5,9 @@
 import {ConnectTimeoutError} from '../errors/hostErrors.ts';
 import type {TimerService} from '../timer/timerService.ts';
 
+/** Starts to open a socket to an IP number and port. */
+export type Dial = (host: string, port: number) => Socket;
+
 /** Settings of the connection pool of one backend server. */
 export interface ServerConnectionPoolOptions {
   /** Origin of the server, such as `http://10.0.0.1:8080`. */
@@ -27,8 +30,13 @@
   /** Most idle connections that are kept open. */
   readonly maxIdle: number;
   readonly timers: TimerService;
-  /** Starts to open a socket. Default: TCP with Nagle's algorithm off and keep-alive on. */
-  readonly dial: (host: string, port: number) => Socket;
+  /** Starts to open a socket. Default: `dialTcp`. */
+  readonly dial: Dial;
+}
+
+/** Starts to open a TCP connection with Nagle's algorithm off and keep-alive on. */
+export function dialTcp(host: string, port: number): Socket {
+  return connect({host, port, noDelay: true, keepAlive: true});
 }
 
 export const DEFAULT_SERVER_CONNECTION_POOL_OPTIONS = {
@@ -36,8 +44,7 @@
   strayBytesAvoidanceMs: 5_000,
   onStrayBytes: (): void => undefined,
   onDialed: (): void => undefined,
-  dial: (host: string, port: number): Socket =>
-    connect({host, port, noDelay: true, keepAlive: true}),
+  dial: dialTcp,
 } as const;
 
 type RequiredServerConnectionPoolOptions = Omit<
--- a/packages/proxy/src/host/gossipHost.ts
+++ b/packages/proxy/src/host/gossipHost.ts
@@ -6,6 +6,8 @@
 import type {Logger} from 'pino';
 import {AdminTask} from '../admin/adminTask.ts';
 import {BackendTask} from '../backends/backendTask.ts';
+import {dialTcp} from '../backends/serverConnectionPool.ts';
+import type {Dial} from '../backends/serverConnectionPool.ts';
 import {CallerTask} from '../callers/callerTask.ts';
 import type {HttpDialect} from '../dialect/httpDialect.ts';
 import {RateLimitedLog} from '../log/rateLimitedLog.ts';
@@ -56,6 +58,8 @@
   readonly capacityCores: number;
   /** Reads the wall clock, in ms. */
   readonly wallClockMs: () => number;
+  /** Starts to open a socket to a server or a relaying host. Default: TCP. */
+  readonly dial?: Dial;
   readonly log: Logger;
   readonly hash: HashFunction;
   /** Seed of all random choices of this host. */
@@ -150,6 +154,7 @@
       bufferedResponseBytes,
       connectTimeoutMs,
       idleMs,
+      dial: options.dial ?? dialTcp,
       relayOriginOf: (hostId) => `http://${splitAddress(hostId).host}:${relayPort}`,
       answer: (requestId, answer) => {
         this.#callers.post({type: 'answerArrived', requestId, answer});
