--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -25,6 +25,7 @@
 import {readRequestTarget} from './requestTarget.ts';
 import {readWholeBody} from './readWholeBody.ts';
 import {writeProblem} from './writeProblem.ts';
+import {drainServer} from '../task/drainServer.ts';
 import {listenOn} from '../task/listenOn.ts';
 
 /**
@@ -149,20 +150,12 @@
 
   /**
    * Accepts no more connections, and closes each connection after the request that runs on it. Resolves once
-   * all connections are closed, so that requests that are still being read and refusals that are still being
-   * sent are waited for too.
+   * all connections are closed.
    */
   async drain(): Promise<void> {
-    await new Promise<void>((resolve) => {
-      if (this.#server === undefined) {
-        resolve();
-        return;
-      }
-      this.#server.close(() => {
-        resolve();
-      });
-      this.#server.closeIdleConnections();
-    });
+    if (this.#server !== undefined) {
+      await drainServer(this.#server);
+    }
   }
 
   /** Closes all connections at once. */
--- a/packages/proxy/src/relay/relayTask.ts
+++ b/packages/proxy/src/relay/relayTask.ts
@@ -6,6 +6,7 @@
 import {ServerConnectionPool} from '../backends/serverConnectionPool.ts';
 import {endToEndHeaders} from '../callers/headers.ts';
 import type {HttpDialect} from '../dialect/httpDialect.ts';
+import {drainServer} from '../task/drainServer.ts';
 import {listenOn} from '../task/listenOn.ts';
 import type {TimerService} from '../timer/timerService.ts';
 import {relayNotSentHeader, relayServerHeader} from './relayHeaders.ts';
@@ -91,19 +92,12 @@
     }
   }
 
-  /** Accepts no more connections, and resolves once the attempts that run have ended. */
+  /** Accepts no more connections, and resolves once the attempts that run have ended and all connections are closed. */
   async drain(): Promise<void> {
     this.#isDraining = true;
-    await new Promise<void>((resolve) => {
-      if (this.#server === undefined) {
-        resolve();
-        return;
-      }
-      this.#server.close(() => {
-        resolve();
-      });
-      this.#server.closeIdleConnections();
-    });
+    if (this.#server !== undefined) {
+      await drainServer(this.#server);
+    }
   }
 
   /** Closes all connections at once. */
