Planned stops admit by target latency, and connections close after responses begun before

Cause, found by reading: admission by the whole deadline refused every request of a route whose deadline is nearly as long as the grace time, for the two seconds in which a load balancer still sends requests; callers that do not retry lose those. And a response to a request from before the stop did not announce the close, so that its connection stayed. Fix: a request is admitted if twice the target latency of its route fits before the end (its whole deadline where the route has none), with a deadline that ends there, which its server hears. Responses announce the close when they are sent.

--- a/packages/core/src/__tests__/requestTask.test.ts
+++ b/packages/core/src/__tests__/requestTask.test.ts
@@ -222,4 +222,23 @@
     expect(findRefusal(arrive(1, 800))).to.equal(undefined);
     expect(findRefusal(arrive(2, 801))).to.include({kind: 'shutting-down', outcome: 'not-run'});
   });
+
+  it('admits a request by its target latency, with a deadline that ends before the shutdown', () => {
+    const routes = document.routes.map((route) => ({...route, targetLatencyMs: 200}));
+    const task = new RequestTask();
+    task.receive({type: 'documentInForce', document: {...document, routes}, manifest}, 0);
+    task.receive({type: 'freshUntil', untilMs: 10_000}, 0);
+    task.receive({type: 'shutdownAnnounced', endsAtMs: 1_000}, 0);
+    const arrive = (requestId: number, nowMs: number): readonly CoreMessage[] => {
+      const request = {requestId, host: 'h', path: '/x', method: 'POST', keyDigest: digest};
+      const arrived = {type: 'requestArrived', ...request, isReplayable: true} as const;
+      return task.receive({...arrived, budgetMs: 2_000}, nowMs);
+    };
+    expect(findRefusal(arrive(1, 600))).to.equal(undefined);
+    task.receive({...granted, requestId: 1}, 610);
+    const started = task.receive({type: 'permitGranted', requestId: 1, usableUntilMs: 900}, 620);
+    const attempt = started.find(({type}) => type === 'startAttempt');
+    expect(attempt).to.include({timeoutMs: 380});
+    expect(findRefusal(arrive(2, 601))).to.include({kind: 'shutting-down', outcome: 'not-run'});
+  });
 });
--- a/packages/core/src/messages/hostMessages.ts
+++ b/packages/core/src/messages/hostMessages.ts
@@ -230,7 +230,7 @@
   knownCount: z.number().int(),
 });
 
-/** The process will shut down soon; requests that arrive are served if their deadline lies before the end. */
+/** The process will shut down soon; requests that arrive are served if they can be answered before the end. */
 export const shutdownAnnouncedSchema = z.object({
   type: z.literal('shutdownAnnounced'),
   /** Moment at which the requests that still run are refused, in ms. */
--- a/packages/core/src/request/admitRequest.ts
+++ b/packages/core/src/request/admitRequest.ts
@@ -8,6 +8,8 @@
 
 /** Longest idempotency key that is accepted, in characters. */
 const maxIdempotencyKeyLength = 256;
+/** Multiple of the target latency in which nearly all requests are answered, for the decision during a shutdown. */
+const shutdownLatencyFactor = 2;
 /** Number of equal steps in the random draw among the backends of a split. */
 const splitResolution = 1_000_000;
 
@@ -63,6 +65,13 @@
   return backend;
 }
 
+/** Time that a request is sure or very likely to be answered in, in ms: its budget, or less by its target latency. */
+function timeNeededMs({targetLatencyMs}: Route, budgetMs: number): number {
+  return targetLatencyMs === undefined
+    ? budgetMs
+    : Math.min(budgetMs, targetLatencyMs * shutdownLatencyFactor);
+}
+
 /** Checks the limits for one request; returns its initial state, or why it is refused. */
 function createRequestState(
   message: RequestArrived,
@@ -84,7 +93,8 @@
   if (budgetMs < minAttemptMs) {
     return 'deadline-too-short';
   }
-  if (shutdownEndsAtMs !== undefined && nowMs + budgetMs > shutdownEndsAtMs) {
+  const leftMs = (shutdownEndsAtMs ?? Number.POSITIVE_INFINITY) - nowMs;
+  if (leftMs < timeNeededMs(route, budgetMs)) {
     return 'shutting-down';
   }
   const requestDigest = message.requestDigest ?? '';
@@ -101,7 +111,7 @@
     isIdempotent: isIdempotent(route, message.method),
     isReplayable: message.isReplayable,
     arrivedAtMs: nowMs,
-    deadlineAtMs: nowMs + budgetMs,
+    deadlineAtMs: nowMs + Math.min(budgetMs, leftMs),
     idempotencyKey: message.idempotencyKey,
     bodyBytes: message.bodyBytes ?? 0,
     requestDigest,
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -168,9 +168,7 @@
     const requestId = this.#nextRequestId;
     this.#nextRequestId += 1;
     const {dialect, maxReplayableBytes} = this.#options;
-    if (this.#isShuttingDown) {
-      outgoing.shouldKeepAlive = false;
-    }
+    this.#announceClose(outgoing);
     const requestName = dialect.requestName(incoming, `${this.#options.selfId}-${requestId}`);
     const target = readRequestTarget(incoming.url ?? '', incoming.headers.host, dialect);
     if (target.isErr()) {
@@ -217,6 +215,13 @@
     });
   }
 
+  /** Makes a response close its connection while the host shuts down; called again for requests that ran before. */
+  #announceClose(outgoing: ServerResponse): void {
+    if (this.#isShuttingDown) {
+      outgoing.shouldKeepAlive = false;
+    }
+  }
+
   /** Reads a body that is small enough to be buffered; refuses the request where that fails. */
   async #readReplayableBody(
     incoming: IncomingMessage,
@@ -329,6 +334,7 @@
           socket?.resetAndDestroy();
         });
       }
+      this.#announceClose(outgoing);
       outgoing.writeHead(response.status, {
         ...response.headers,
         [this.#requestNameHeader]: requestName,
@@ -390,6 +396,7 @@
       return;
     }
     const {dialect, timers} = this.#options;
+    this.#announceClose(outgoing);
     writeProblem(incoming, outgoing, kind, {
       dialect,
       timers,
--- a/packages/proxy/src/host/gossipHost.ts
+++ b/packages/proxy/src/host/gossipHost.ts
@@ -239,7 +239,7 @@
 
   /**
    * Shuts down within the grace time: reports to the load balancer and the peers that the host stops, still
-   * serves requests that arrive for a while and whose deadline lies before the end, then waits for the running
+   * serves requests that arrive for a while and can be answered before the end, then waits for the running
    * ones. Requests that are not done shortly before the end of the grace time are refused.
    */
   async stop(): Promise<void> {
--- a/packages/proxy/src/relay/relayTask.ts
+++ b/packages/proxy/src/relay/relayTask.ts
@@ -110,9 +110,6 @@
   }
 
   async #onAttempt(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
-    if (this.#isDraining) {
-      outgoing.shouldKeepAlive = false;
-    }
     const serverId = String(incoming.headers[relayServerHeader]);
     const origin = this.#originByServerId.get(serverId);
     if (origin === undefined) {
@@ -152,6 +149,7 @@
         maxBytes: bufferedResponseBytes,
         wasReset: () => connection.wasReset,
       });
+      outgoing.shouldKeepAlive &&= !this.#isDraining;
       outgoing.writeHead(response.statusCode, endToEndHeaders(response.headers));
       await pipeline(body, outgoing);
       pool.release(connection);
@@ -174,7 +172,7 @@
       return;
     }
     // The rest of the body is not read, so the connection cannot carry another attempt.
-    outgoing.shouldKeepAlive &&= incoming.complete || !hasBody(incoming);
+    outgoing.shouldKeepAlive &&= !this.#isDraining && (incoming.complete || !hasBody(incoming));
     outgoing.writeHead(502, {[relayNotSentHeader]: reason, 'content-length': '0'});
     outgoing.end();
   }
