A change that is announced during a registry query is fetched at once

What callers may see: a host handles requests by an old configuration for longer than operators allow. Cause, found by reading what delays a change: a host that has a query under way ignored the announcement of a newer revision and asked again with its next interval, 0.7 s later; the way from the reader to a host has two such hops, after up to 0.3 s between watches. Evidence: the new test fails before (no query after the reply) and passes. Whether this was the cause is not shown.

--- a/packages/core/src/__tests__/registryTask.test.ts
+++ b/packages/core/src/__tests__/registryTask.test.ts
@@ -90,4 +90,19 @@
     );
     expect(messages[0]).to.have.nested.property('message.isFailing', true);
   });
+
+  // Guards against changes that come into force a whole query interval late.
+  it('queries again at once where its source announces a change while a query is under way', () => {
+    const task = createFollower();
+    const first = sentQuery(
+      task.receive({type: 'timerFired', timerId: 'registry.tick'}, settledAtMs),
+    );
+    const changed = {type: 'registryChanged' as const, revision: 2};
+    const announced = {type: 'peerMessageReceived', fromHostId: 'd', message: changed} as const;
+    expect(sentQuery(task.receive(announced, settledAtMs + 1))).to.equal(undefined);
+    const next = sentQuery(task.receive(reply('d', first?.nonce ?? 0, false), settledAtMs + 2));
+    expect(next?.toHostId).to.equal('d');
+    const later = sentQuery(task.receive(reply('d', next?.nonce ?? 0, false), settledAtMs + 4));
+    expect(later).to.equal(undefined);
+  });
 });
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -105,6 +105,8 @@
   #hasPeerReplied = false;
   /** Latest moment at which the registry surely held nothing newer than the view, in ms. */
   #confirmedAtMs = Number.NEGATIVE_INFINITY;
+  /** Newest revision that the source announced since the last query for it; 0 for none. */
+  #noticedRevision = 0;
   #pendingQuery: {readonly nonce: number; readonly queriedAtMs: number} | undefined;
   #nextQueryAtMs = 0;
   #preferredSourceRetryAtMs = 0;
@@ -290,16 +292,24 @@
         return this.#replyTo(fromHostId, message, nowMs);
       case 'registryAnswer':
         return this.#onReply(fromHostId, message, nowMs);
-      case 'registryChanged': {
-        const needsQuery =
-          message.revision > this.#view.revision && this.#pendingQuery === undefined;
-        return needsQuery && fromHostId === this.#sources.current ? this.#sendQuery(nowMs) : [];
-      }
+      case 'registryChanged':
+        if (fromHostId !== this.#sources.current) {
+          return [];
+        }
+        this.#noticedRevision = message.revision;
+        return this.#pendingQuery === undefined ? this.#queryNoticedChange(nowMs) : [];
       default:
         return [];
     }
   }
 
+  /** Queries the source if it announced a revision that this host does not have. */
+  #queryNoticedChange(nowMs: number): readonly CoreMessage[] {
+    const needsQuery = this.#noticedRevision > this.#view.revision;
+    this.#noticedRevision = 0;
+    return needsQuery ? this.#sendQuery(nowMs) : [];
+  }
+
   #replyTo(fromHostId: string, query: RegistryAsk, nowMs: number): readonly CoreMessage[] {
     this.#queriedAtMsByHost.set(fromHostId, nowMs);
     const {isWhole, changes} = this.#view.changesSince(query, nowMs);
@@ -339,7 +349,7 @@
       return [...messages, ...this.#onSourceFailed('fails itself', nowMs)];
     }
     this.#isFailing = false;
-    return messages;
+    return [...messages, ...this.#queryNoticedChange(nowMs)];
   }
 
   /** Oldest registry data that this host accepts: that of a relay may be one query interval older. */
