Relays do not reuse the connection of a refusal that names no attempt

What callers would see: the fault of the second copy of a refusal, once more, at a host that relays (found by reading the relay for the same cause). Evidence: the new test got the earlier refusal (503, not run) for an attempt that ran, before the change; 200 after. Fix: a relay drops the connection after a 4xx or 5xx without the attempt's name, as it does not know the header by which servers of the backend say that they did not run a request. npx mocha -g RelayTask: 7 passed, 0 failed.

--- a/packages/proxy/src/__tests__/relayTask.test.ts
+++ b/packages/proxy/src/__tests__/relayTask.test.ts
@@ -1,5 +1,6 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {HostEvent} from '@godwitspring/core';
 import {expect} from 'chai';
 import {BackendTask} from '../backends/backendTask.ts';
@@ -166,6 +167,22 @@
     expect(await run()).to.deep.equal({status: 503, text: ''});
   });
 
+  // Guards against "not run" for an attempt that ran while its server sent an earlier refusal again.
+  it('takes no second copy of a refusal for the response to a later attempt', async () => {
+    const refusal = 'HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n';
+    const refusedSockets = new Set<Socket>();
+    onRequest = ({socket}, outgoing) => {
+      if (refusedSockets.has(socket) || refusedSockets.size === 0) {
+        refusedSockets.add(socket);
+        socket.write(refusal);
+        return;
+      }
+      outgoing.end('done');
+    };
+    expect(await run()).to.deep.equal({status: 503, text: ''});
+    expect(await run()).to.deep.equal({status: 200, text: 'done'});
+  });
+
   it('reports to its own core what servers state in the responses that it relays', async () => {
     onRequest = (_incoming, outgoing) => {
       outgoing.writeHead(200, {'server-leaving': '1'}).end();
--- a/packages/proxy/src/relay/relayTask.ts
+++ b/packages/proxy/src/relay/relayTask.ts
@@ -2,6 +2,7 @@
 import {createServer} from 'node:http';
 import {pipeline} from 'node:stream/promises';
 import type {HostEffect, HostEvent} from '@godwitspring/core';
+import type {Dispatcher} from 'undici';
 import {bufferResponse} from '../backends/bufferResponse.ts';
 import {ServerConnectionPool} from '../backends/serverConnectionPool.ts';
 import {endToEndHeaders} from '../callers/headers.ts';
@@ -27,7 +28,7 @@
   /** Responses up to this size are read completely before they are passed on, in bytes. Default: 65,536. */
   readonly bufferedResponseBytes: number;
   /** Interpretation of what servers state in their responses. */
-  readonly dialect: Pick<HttpDialect, 'serverNotice'>;
+  readonly dialect: Pick<HttpDialect, 'serverNotice' | 'requestNameHeader'>;
   readonly timers: TimerService;
   readonly postToCore: (event: HostEvent) => void;
   readonly count: (name: string, tags?: Record<string, string>) => void;
@@ -152,7 +153,11 @@
       outgoing.shouldKeepAlive &&= !this.#isDraining;
       outgoing.writeHead(response.statusCode, endToEndHeaders(response.headers));
       await pipeline(body, outgoing);
-      pool.release(connection);
+      if (isAnonymousFailure(response, dialect.requestNameHeader)) {
+        pool.discard(connection);
+      } else {
+        pool.release(connection);
+      }
       count('relay.forwarded');
     } catch (error) {
       pool.discard(connection);
@@ -194,6 +199,17 @@
   }
 }
 
+/**
+ * True for a response, possibly a refusal, that does not name its attempt: a second copy of it would look like the
+ * response to the next attempt on the connection.
+ */
+function isAnonymousFailure(
+  {statusCode, headers}: Dispatcher.ResponseData,
+  requestNameHeader: string,
+): boolean {
+  return statusCode >= 400 && headers[requestNameHeader] === undefined;
+}
+
 /** True where the request has a body, by its head. */
 function hasBody({headers}: IncomingMessage): boolean {
   const length = headers['content-length'];
