--- a/packages/bench/src/__tests__/registryAndRateLimits.test.ts
+++ b/packages/bench/src/__tests__/registryAndRateLimits.test.ts
@@ -115,6 +115,34 @@
     expect(new Set(versionsInForce(fleet))).to.deep.equal(new Set([2]));
   });
 
+  // Guards against old configurations on hosts that the registry serves while it refuses others.
+  it('puts each new version in force within two seconds while the registry refuses a third of the hosts', () => {
+    const late: string[] = [];
+    for (const seed of [3, 5, 8, 9]) {
+      const fleet = createGrayFailureFleet(hash, {seed});
+      fleet.queue.runUntil(startupMs);
+      for (const [index, host] of [...fleet.hosts.values()].entries()) {
+        if (index % 3 === seed % 3 || host.status().registry?.role === 'reader') {
+          fleet.refusedByRegistry.add(host.id);
+        }
+      }
+      // Operators allow more time right after the registry began to refuse hosts.
+      fleet.queue.runUntil(startupMs + 3_000);
+      for (let version = 2; version <= 10; version += 1) {
+        fleet.queue.runUntil(fleet.queue.nowMs + 137 * (version % 4));
+        fleet.publish([{kind: 'document', document: grayFailureDocument(version)}]);
+        fleet.queue.runUntil(fleet.queue.nowMs + 2_000);
+        for (const host of fleet.hosts.values()) {
+          const isServed = !fleet.refusedByRegistry.has(host.id);
+          if (isServed && host.status().registry?.version !== version) {
+            late.push(`seed ${seed}, version ${version}, ${host.id}`);
+          }
+        }
+      }
+    }
+    expect(late).to.deep.equal([]);
+  });
+
   it('puts a new version in force on every host although the hosts that read the registry crash just before', () => {
     const fleet = createGrayFailureFleet(hash);
     fleet.queue.runUntil(startupMs);
