--- a/packages/core/src/reachability/relaySelector.ts
+++ b/packages/core/src/reachability/attemptRelaySelector.ts
@@ -9,7 +9,7 @@
  * used again; after a failure another one is drawn at random, from all data centres, as the hosts of a whole data
  * centre may be cut off together.
  */
-export class RelaySelector {
+export class AttemptRelaySelector {
   readonly #random: RandomSource;
   readonly #avoidedUntilMs = new Map<string, number>();
   #liveIds: readonly string[] = [];
--- a/packages/core/src/reachability/reachabilityTask.ts
+++ b/packages/core/src/reachability/reachabilityTask.ts
@@ -5,7 +5,7 @@
 import type {ServerNoticed} from '../messages/requestMessages.ts';
 import {ServerNotices} from '../placement/serverNotices.ts';
 import type {RandomSource} from '../random/randomSource.ts';
-import {RelaySelector} from './relaySelector.ts';
+import {AttemptRelaySelector} from './attemptRelaySelector.ts';
 import {ServerReachability} from './serverReachability.ts';
 
 /** Options of the task that watches whether this host reaches the backend servers. */
@@ -42,7 +42,7 @@
 
   readonly #options: ReachabilityTaskOptions;
   readonly #reachability = new ServerReachability();
-  readonly #relays: RelaySelector;
+  readonly #relays: AttemptRelaySelector;
   /** What the servers stated to this host; it binds attempts that this host relays too. */
   readonly #notices = new ServerNotices();
   #servers: readonly DiscoveredServer[] = [];
@@ -50,7 +50,7 @@
 
   constructor(options: Partial<ReachabilityTaskOptions> & RequiredReachabilityTaskOptions) {
     this.#options = {...DEFAULT_REACHABILITY_TASK_OPTIONS, ...options};
-    this.#relays = new RelaySelector(options.random);
+    this.#relays = new AttemptRelaySelector(options.random);
   }
 
   receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
--- a/packages/proxy/src/__tests__/relayTask.test.ts
+++ b/packages/proxy/src/__tests__/attemptRelayTask.test.ts
@@ -7,7 +7,7 @@
 import type {RunAttempt} from '../backends/backendMessages.ts';
 import type {PendingResponse} from '../callers/exchange.ts';
 import {DefaultDialect} from '../dialect/defaultDialect.ts';
-import {RelayTask} from '../relay/relayTask.ts';
+import {AttemptRelayTask} from '../attempt-relay/attemptRelayTask.ts';
 import {SystemTimerService} from '../timer/systemTimerService.ts';
 
 const relayIp = '127.54.1.1';
@@ -21,10 +21,10 @@
   | {readonly status: number; readonly text: string}
   | {readonly failure: string; readonly mayHaveRun: boolean};
 
-describe('RelayTask', () => {
+describe('AttemptRelayTask', () => {
   const timers = new SystemTimerService();
   const relayEvents: HostEvent[] = [];
-  const relay = new RelayTask({
+  const relay = new AttemptRelayTask({
     listenHost: relayIp,
     listenPort: relayPort,
     connectTimeoutMs,
--- a/packages/proxy/src/relay/relayTask.ts
+++ b/packages/proxy/src/attempt-relay/attemptRelayTask.ts
@@ -16,7 +16,7 @@
 export type RelayTargets = Extract<HostEffect, {type: 'relayTargets'}>;
 
 /** Settings and collaborators of the relay task. */
-export interface RelayTaskOptions {
+export interface AttemptRelayTaskOptions {
   readonly listenHost: string;
   readonly listenPort: number;
   /** Longest wait for a new connection to a server, in ms. */
@@ -34,12 +34,15 @@
   readonly count: (name: string, tags?: Record<string, string>) => void;
 }
 
-export const DEFAULT_RELAY_TASK_OPTIONS = {
+export const DEFAULT_ATTEMPT_RELAY_TASK_OPTIONS = {
   idlePerServer: 4,
   bufferedResponseBytes: 65_536,
 } as const;
 
-type RequiredRelayTaskOptions = Omit<RelayTaskOptions, keyof typeof DEFAULT_RELAY_TASK_OPTIONS>;
+type RequiredAttemptRelayTaskOptions = Omit<
+  AttemptRelayTaskOptions,
+  keyof typeof DEFAULT_ATTEMPT_RELAY_TASK_OPTIONS
+>;
 
 /** Time after which an idle connection of another host is closed, in ms: later than that host closes it. */
 const keepAliveTimeoutMs = 60_000;
@@ -50,15 +53,15 @@
  * Owns the port at which attempts of hosts that are cut off from the backend servers arrive, and forwards them. It
  * decides nothing: the host that received the request has placed it and interprets the response.
  */
-export class RelayTask {
-  readonly #options: RelayTaskOptions;
+export class AttemptRelayTask {
+  readonly #options: AttemptRelayTaskOptions;
   readonly #originByServerId = new Map<string, string>();
   readonly #poolByOrigin = new Map<string, ServerConnectionPool>();
   #server: Server | undefined;
   #isDraining = false;
 
-  constructor(options: Partial<RelayTaskOptions> & RequiredRelayTaskOptions) {
-    this.#options = {...DEFAULT_RELAY_TASK_OPTIONS, ...options};
+  constructor(options: Partial<AttemptRelayTaskOptions> & RequiredAttemptRelayTaskOptions) {
+    this.#options = {...DEFAULT_ATTEMPT_RELAY_TASK_OPTIONS, ...options};
   }
 
   /** Opens the port; fails where the address is in use. */
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -8,7 +8,7 @@
 import {Mailbox} from '../task/mailbox.ts';
 import type {TimerService} from '../timer/timerService.ts';
 import type {BackendCommand, RunAttempt} from './backendMessages.ts';
-import {relayNotSentHeader, relayServerHeader} from '../relay/relayHeaders.ts';
+import {relayNotSentHeader, relayServerHeader} from '../attempt-relay/relayHeaders.ts';
 import {bufferResponse} from './bufferResponse.ts';
 import {ServerConnectionPool, dialTcp} from './serverConnectionPool.ts';
 import type {Dial, ServerConnection} from './serverConnectionPool.ts';
--- a/packages/proxy/src/host/gossipHost.ts
+++ b/packages/proxy/src/host/gossipHost.ts
@@ -15,7 +15,7 @@
 import {ReadinessTask} from '../readiness/readinessTask.ts';
 import type {RegistrySource} from '../registry/registrySource.ts';
 import {RegistryWatchTask} from '../registry/registryWatchTask.ts';
-import {RelayTask} from '../relay/relayTask.ts';
+import {AttemptRelayTask} from '../attempt-relay/attemptRelayTask.ts';
 import {SuspensionDetector} from '../timer/suspensionDetector.ts';
 import type {TimerService} from '../timer/timerService.ts';
 import {CoreRunner} from './coreRunner.ts';
@@ -108,7 +108,7 @@
   readonly #registry: RegistryWatchTask;
   readonly #readiness: ReadinessTask;
   readonly #admin: AdminTask;
-  readonly #relay: RelayTask;
+  readonly #relay: AttemptRelayTask;
   readonly #suspensionDetector: SuspensionDetector;
 
   constructor(options: GossipHostOptions) {
@@ -183,7 +183,7 @@
         this.#onPeerReport(report);
       },
     });
-    this.#relay = new RelayTask({
+    this.#relay = new AttemptRelayTask({
       ...listenAddress(addresses.relay),
       connectTimeoutMs,
       idleMs,
