--- a/packages/proxy/src/__tests__/__fixtures__/gossipFleetFixture.ts
+++ b/packages/proxy/src/__tests__/__fixtures__/gossipFleetFixture.ts
@@ -19,6 +19,8 @@
 /** Registry in memory, which never changes. */
 class FixedRegistry implements RegistrySource {
   readonly #changes: readonly RegistryChange[];
+  #timeout: NodeJS.Timeout | undefined;
+  #isStopped = false;
 
   constructor(changes: readonly RegistryChange[]) {
     this.#changes = changes;
@@ -29,11 +31,18 @@
   }
 
   async watch(_afterRevision: number, waitMs: number): Promise<RegistryReading> {
-    await new Promise((resolve) => setTimeout(resolve, waitMs));
+    // A watch that is stopped never returns, as otherwise the next one would keep the process alive.
+    await new Promise((resolve) => {
+      if (!this.#isStopped) {
+        this.#timeout = setTimeout(resolve, waitMs);
+      }
+    });
     return {revision: 1, changes: []};
   }
 
   stop(): Promise<void> {
+    this.#isStopped = true;
+    clearTimeout(this.#timeout);
     return Promise.resolve();
   }
 }
