Departures are kept once, a response is classified once, ids of servers are listed once

Cause, from the read of the whole change: ServerDepartures repeated what ServerNotices keeps (departures, and that a process started anew under an old id counts as new); BackendTask classified each response twice; PlacementEntryTask filtered all servers twice for each query; ReachabilityTask announced its targets again for a departure it knew. Change: the home keeps departures in ServerNotices; one classification serves both uses; ids by backend are built when the list of servers changes; targets follow what is new.

--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -5,7 +5,7 @@
 import type {AttemptOutcome} from '../messages/attemptOutcome.ts';
 import type {ServerNotice} from '../messages/serverNotice.ts';
 import {ServerAvailability} from './serverAvailability.ts';
-import {ServerDepartures} from './serverDepartures.ts';
+import {ServerNotices} from './serverNotices.ts';
 import {PoisonRequestDetector} from './poisonRequestDetector.ts';
 import {QueueAdmission} from './queueAdmission.ts';
 import type {ExpiredQuery} from './queueAdmission.ts';
@@ -79,7 +79,8 @@
   #servers: readonly DiscoveredServer[] = [];
   /** Servers in service by the registry. */
   #registeredServers: readonly DiscoveredServer[] = [];
-  readonly #departures = new ServerDepartures();
+  /** Departures that servers stated; the registry may tell later, or not at all. */
+  readonly #departures = new ServerNotices();
   #lapsedIds: ReadonlySet<string> = new Set();
   readonly #newServers = new NewServers();
   readonly #survey: RiskSurvey;
@@ -152,7 +153,7 @@
 
   /** Takes a server that said that it leaves out of service. */
   #recordDeparture(serverId: string, {isLeaving = false}: ServerNotice, nowMs: number): void {
-    if (isLeaving && this.#departures.record(serverId)) {
+    if (isLeaving && this.#departures.record(serverId, {isLeaving}, nowMs)) {
       this.#updateServersInService(nowMs);
     }
   }
--- a/packages/core/src/placement/placementEntryTask.ts
+++ b/packages/core/src/placement/placementEntryTask.ts
@@ -110,6 +110,8 @@
   readonly #localLimits = new ServerRateLimits();
   readonly #lastOutcomes = new Map<string, LastOutcome>();
   #servers: readonly DiscoveredServer[] = [];
+  /** Ids of the servers in service, by backend. */
+  readonly #serverIdsByBackend = new Map<string, Set<string>>();
   /** Origins of the servers in service, as far as this host knows. */
   #originById = new Map<string, string>();
   #connectedIds: readonly string[] = [];
@@ -163,6 +165,11 @@
       ({state, dataCentre}) => state === 'in-service' && !outOfService.includes(dataCentre),
     );
     this.#originById = new Map(this.#servers.map(({id, origin}) => [id, origin]));
+    this.#serverIdsByBackend.clear();
+    for (const {id, backendId} of this.#servers) {
+      const serverIds = this.#serverIdsByBackend.get(backendId) ?? new Set();
+      this.#serverIdsByBackend.set(backendId, serverIds.add(id));
+    }
     return [];
   }
 
@@ -232,8 +239,7 @@
 
   /** Ids of the servers of a backend that are in service. */
   #serverIdsOf(backendId: string): ReadonlySet<string> {
-    const own = this.#servers.filter((server) => server.backendId === backendId);
-    return new Set(own.map(({id}) => id));
+    return this.#serverIdsByBackend.get(backendId) ?? new Set();
   }
 
   #onPeerMessage(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
--- a/packages/core/src/placement/serverNotices.ts
+++ b/packages/core/src/placement/serverNotices.ts
@@ -20,7 +20,7 @@
  */
 const maxReportAgeMs = 30_000;
 
-/** What the backend servers stated about themselves in their responses to this host. */
+/** What the backend servers stated about themselves in responses, to this host or by the reports of other hosts. */
 export class ServerNotices {
   readonly #statementsById = new Map<string, ServerStatements>();
   readonly #startedAtUnixMsById = new Map<string, number | undefined>();
@@ -54,13 +54,16 @@
     return this.usableAtMs(serverId, nowMs) <= nowMs;
   }
 
+  /** True where the process that the registry lists under this id said that it leaves. */
+  isLeaving(serverId: string): boolean {
+    return this.#statementsById.get(serverId)?.leavingSinceMs !== undefined;
+  }
+
   /** Moment from which this host may send requests to a server, in ms; infinity for one that leaves. */
   usableAtMs(serverId: string, nowMs: number): number {
-    const statements = this.#statementsById.get(serverId);
-    if (statements?.leavingSinceMs !== undefined) {
-      return Number.POSITIVE_INFINITY;
-    }
-    return Math.max(nowMs, statements?.pausedUntilMs ?? nowMs);
+    return this.isLeaving(serverId)
+      ? Number.POSITIVE_INFINITY
+      : Math.max(nowMs, this.#statementsById.get(serverId)?.pausedUntilMs ?? nowMs);
   }
 
   /** Limits and departures that the given servers stated, for the home of their backend. */
--- a/packages/core/src/reachability/reachabilityTask.ts
+++ b/packages/core/src/reachability/reachabilityTask.ts
@@ -89,9 +89,9 @@
 
   /** Relays nothing to a server that leaves or wants no requests of this host for a time. */
   #onNoticed({serverId, notice}: ServerNoticed, nowMs: number): readonly CoreMessage[] {
-    this.#notices.record(serverId, notice, nowMs);
+    const isNew = this.#notices.record(serverId, notice, nowMs);
     const usableAtMs = this.#notices.usableAtMs(serverId, nowMs);
-    if (usableAtMs <= nowMs) {
+    if (!isNew || usableAtMs <= nowMs) {
       return [];
     }
     const targets = this.#createRelayTargets(nowMs);
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -3,7 +3,7 @@
 import type {Dispatcher} from 'undici';
 import type {PendingResponse} from '../callers/exchange.ts';
 import {endToEndHeaders} from '../callers/headers.ts';
-import type {HttpDialect} from '../dialect/httpDialect.ts';
+import type {HttpDialect, ResponseClassification} from '../dialect/httpDialect.ts';
 import {BodyLimitError, InterimResponsesError, SlowCallerError} from '../errors/hostErrors.ts';
 import {Mailbox} from '../task/mailbox.ts';
 import type {TimerService} from '../timer/timerService.ts';
@@ -203,18 +203,24 @@
           }
         },
       });
-      const mayBeReused = !this.#isAnonymousRefusal(run, response);
+      const {dialect} = this.#options;
+      const {statusCode, headers} = response;
+      const classification = dialect.classifyResponse(statusCode, headers, run.notRunHeader);
+      // A second copy of a refusal that names no attempt would look like the refusal of the next request on the
+      // connection, which may have run.
+      const isAnonymousRefusal =
+        classification.reportsNotRun && headers[dialect.requestNameHeader] === undefined;
       response.body.once('close', () => {
         this.#running.delete(attemptKey);
         const isWhole = response.body.readableEnded;
-        if (isWhole && mayBeReused) {
+        if (isWhole && !isAnonymousRefusal) {
           pool.release(connection);
         } else {
           pool.discard(connection);
         }
         this.#reportIdleConnections();
       });
-      await this.#onResponse(run, response, connection);
+      await this.#onResponse(run, response, classification, connection);
     } catch (error) {
       this.#running.delete(attemptKey);
       pool.discard(connection);
@@ -225,19 +231,6 @@
     }
   }
 
-  /**
-   * True for a refusal that does not name its attempt. A second copy of it would look like the refusal of the next
-   * request on the connection, which may have run.
-   */
-  #isAnonymousRefusal({notRunHeader}: RunAttempt, response: Dispatcher.ResponseData): boolean {
-    const {dialect} = this.#options;
-    const {statusCode, headers} = response;
-    return (
-      headers[dialect.requestNameHeader] === undefined &&
-      dialect.classifyResponse(statusCode, headers, notRunHeader).reportsNotRun
-    );
-  }
-
   /** Ends an attempt whose server sends interim responses without end, and reports it to the core as malformed. */
   #failForInterimResponses(run: RunAttempt, controller: AbortController): void {
     if (controller.signal.aborted) {
@@ -268,6 +261,7 @@
   async #onResponse(
     run: RunAttempt,
     response: Dispatcher.ResponseData,
+    classification: ResponseClassification,
     connection: ServerConnection,
   ): Promise<void> {
     const {requestId, attempt, notRunHeader} = run;
@@ -284,7 +278,6 @@
       });
       return;
     }
-    const classification = dialect.classifyResponse(status, response.headers, notRunHeader);
     const echoedName = response.headers[dialect.requestNameHeader];
     const isOfOtherAttempt =
       echoedName === undefined ? run.mustEchoName === true : echoedName !== run.attemptName;
