--- a/packages/bench/src/__tests__/hostsCutOffFromServers.test.ts
+++ b/packages/bench/src/__tests__/hostsCutOffFromServers.test.ts
@@ -2,10 +2,8 @@
 import {loadXxHash} from '@godwitspring/proxy';
 import {expect} from 'chai';
 import type {GrayFailureFleet} from '../gray-failure/grayFailureFleet.ts';
-import {createGrayFailureFleet, sendRandomLoad} from '../gray-failure/grayFailureSetup.ts';
+import {startLoadedFleet} from '../gray-failure/grayFailureSetup.ts';
 
-/** Time in which the hosts find each other and the servers, in ms. */
-const startupMs = 8_000;
 /** Time that hosts have to notice that they are cut off, in ms; operators set it. */
 const noticeMs = 3_000;
 const cutMs = 10_000;
@@ -19,14 +17,6 @@
 /** How a cut shows: connections hang, or they are refused and reset. */
 type CutKind = 'silent' | 'refused';
 
-function startFleet(seed: number): GrayFailureFleet {
-  const fleet = createGrayFailureFleet(hash, {seed, backends: [{id: 'core', servers: 21}]});
-  fleet.queue.runUntil(startupMs);
-  sendRandomLoad(fleet, {forMs: 30_000, seed, perSecond: 79, mix: {lookup: 22, payment: 57}});
-  fleet.queue.runUntil(startupMs + 6_000);
-  return fleet;
-}
-
 /** Cuts hosts off from all servers; all other paths stay. */
 function cutOff(fleet: GrayFailureFleet, hostIds: readonly string[], kind: CutKind): void {
   for (const hostId of hostIds) {
@@ -63,7 +53,7 @@
   for (const kind of ['silent', 'refused'] as const) {
     for (const seed of [1, 2, 3]) {
       it(`serve their requests through other hosts (a data centre, ${kind}, seed ${seed})`, () => {
-        const fleet = startFleet(seed);
+        const fleet = startLoadedFleet(hash, seed);
         const cutIds = [...fleet.hosts.values()]
           .filter(({dataCentre}) => dataCentre === 'dc-1')
           .map(({id}) => id);
@@ -76,7 +66,7 @@
   }
 
   it('serve their requests through the rest where two data centres are cut off', () => {
-    const fleet = startFleet(4);
+    const fleet = startLoadedFleet(hash, 4);
     const cutIds = [...fleet.hosts.values()]
       .filter(({dataCentre}) => dataCentre !== 'dc-1')
       .map(({id}) => id);
@@ -87,7 +77,7 @@
   });
 
   it('send their requests themselves again within two seconds of the end of the cut', () => {
-    const fleet = startFleet(5);
+    const fleet = startLoadedFleet(hash, 5);
     const cutIds = [...fleet.hosts.keys()].slice(0, 8);
     cutOff(fleet, cutIds, 'silent');
     fleet.queue.runUntil(fleet.queue.nowMs + 6_000);
--- a/packages/bench/src/__tests__/serverLimits.test.ts
+++ b/packages/bench/src/__tests__/serverLimits.test.ts
@@ -2,14 +2,8 @@
 import {loadXxHash} from '@godwitspring/proxy';
 import {expect} from 'chai';
 import type {GrayFailureFleet} from '../gray-failure/grayFailureFleet.ts';
-import {
-  createGrayFailureFleet,
-  sendRandomLoad,
-  summariseOutcomes,
-} from '../gray-failure/grayFailureSetup.ts';
+import {startLoadedFleet, summariseOutcomes} from '../gray-failure/grayFailureSetup.ts';
 
-/** Time in which the hosts find each other and the servers, in ms. */
-const startupMs = 8_000;
 /** Time from the first notice of a limit until the limit binds, in ms; operators give hosts this time to hear of it. */
 const bindsAfterMs = 3_000;
 /** Window in which operators count a server's requests, in ms. */
@@ -104,14 +98,6 @@
   return number;
 }
 
-function startFleet(seed: number): GrayFailureFleet {
-  const fleet = createGrayFailureFleet(hash, {seed, backends: [{id: 'core', servers: 21}]});
-  fleet.queue.runUntil(startupMs);
-  sendRandomLoad(fleet, {forMs: 30_000, seed, perSecond: 79, mix: {lookup: 22, payment: 57}});
-  fleet.queue.runUntil(startupMs + 6_000);
-  return fleet;
-}
-
 describe('servers that name a limit', () => {
   before(async () => {
     hash = await loadXxHash();
@@ -119,7 +105,7 @@
 
   for (const seed of [1, 2, 3]) {
     it(`get no more requests than the limit allows (seed ${seed})`, () => {
-      const fleet = startFleet(seed);
+      const fleet = startLoadedFleet(hash, seed);
       const limitedAtMs = limitServers(fleet);
       fleet.queue.runUntil(limitedAtMs + 19_000);
       expect(serversAboveLimit(fleet, limitedAtMs, fleet.queue.nowMs)).to.deep.equal([]);
@@ -128,7 +114,7 @@
   }
 
   it('get no more requests than the limit allows while their home is replaced and comes back', () => {
-    const fleet = startFleet(4);
+    const fleet = startLoadedFleet(hash, 4);
     const limitedAtMs = limitServers(fleet);
     fleet.queue.runUntil(limitedAtMs + 5_000);
     const home = homeOf(fleet);
@@ -141,7 +127,7 @@
   });
 
   it('get no more requests than the limit allows while hosts do not reach each other', () => {
-    const fleet = startFleet(5);
+    const fleet = startLoadedFleet(hash, 5);
     const limitedAtMs = limitServers(fleet);
     fleet.after(2_000, () => {
       for (const from of fleet.hosts.keys()) {
@@ -158,7 +144,7 @@
   });
 
   it('get their share of the requests again once they name no limit', () => {
-    const fleet = startFleet(6);
+    const fleet = startLoadedFleet(hash, 6);
     limitServers(fleet);
     fleet.queue.runUntil(fleet.queue.nowMs + 8_000);
     for (const server of fleet.servers.values()) {
--- a/packages/bench/src/gray-failure/grayFailureSetup.ts
+++ b/packages/bench/src/gray-failure/grayFailureSetup.ts
@@ -217,3 +217,17 @@
 export function summariseRoute(fleet: GrayFailureFleet, routeId: string): OutcomeSummary {
   return summariseOutcomes(fleet.outcomes.filter((outcome) => outcome.routeId === routeId));
 }
+
+/** Time in which the hosts of a simulated fleet find each other and the servers, in ms. */
+const startupMs = 8_000;
+/** Time for which a fleet works under load before a test begins, in ms. */
+const loadedMs = 6_000;
+
+/** Starts a fleet in front of 21 servers, under a load of lookups and payments for 30 s, and lets it settle. */
+export function startLoadedFleet(hash: HashFunction, seed: number): GrayFailureFleet {
+  const fleet = createGrayFailureFleet(hash, {seed, backends: [{id: 'core', servers: 21}]});
+  fleet.queue.runUntil(startupMs);
+  sendRandomLoad(fleet, {forMs: 30_000, seed, perSecond: 79, mix: {lookup: 22, payment: 57}});
+  fleet.queue.runUntil(startupMs + loadedMs);
+  return fleet;
+}
