--- /dev/null
+++ b/packages/bench/src/__tests__/lateConfiguration.test.ts
@@ -0,0 +1,160 @@
+import type {HashFunction} from '@godwitspring/core';
+import {loadXxHash} from '@godwitspring/proxy';
+import {expect} from 'chai';
+import {createGrayFailureFleet, grayFailureDocument} from '../gray-failure/grayFailureSetup.ts';
+import type {GrayFailureFleet} from '../gray-failure/grayFailureFleet.ts';
+
+/** Time from the start of the fleet until every host knows the others and the registry, in ms. */
+const startupMs = 8_000;
+/** Time within which operators expect a published version in force on hosts that reach the registry, in ms. */
+const inForceMs = 2_000;
+const seeds = [1, 2, 3, 4, 5, 6, 7, 8, 9];
+
+describe('configuration while the registry fails some hosts', () => {
+  let hash: HashFunction;
+
+  before(async () => {
+    hash = await loadXxHash();
+  });
+
+  /** A started fleet, advanced by a random-looking part of a watch that depends on the seed. */
+  function startFleet(seed: number): GrayFailureFleet {
+    const fleet = createGrayFailureFleet(hash, {seed});
+    fleet.queue.runUntil(startupMs + seed * 131);
+    return fleet;
+  }
+
+  /** The host that reads the registry for the fleet, or both that may do so. */
+  function readerIds(fleet: GrayFailureFleet): string[] {
+    return [...fleet.hosts.values()]
+      .filter((host) => host.status().registry?.role === 'reader')
+      .map(({id}) => id);
+  }
+
+  function readingHostId(fleet: GrayFailureFleet): string {
+    const reading = [...fleet.hosts.values()].find(
+      (host) => host.status().registry?.source === host.id,
+    );
+    return reading?.id ?? '';
+  }
+
+  /** Every third host and the readers. */
+  function thirdOfHosts(fleet: GrayFailureFleet, seed: number): string[] {
+    const third = [...fleet.hosts.keys()].filter((_, index) => index % 3 === seed % 3);
+    return [...new Set([...third, ...readerIds(fleet)])];
+  }
+
+  /** Hosts outside `failedIds` on which a version published now is not in force in time. */
+  function lateHostIds(
+    fleet: GrayFailureFleet,
+    version: number,
+    failedIds: ReadonlySet<string>,
+  ): string[] {
+    fleet.publish([{kind: 'document', document: grayFailureDocument(version)}]);
+    fleet.queue.runUntil(fleet.queue.nowMs + inForceMs);
+    return [...fleet.hosts.values()]
+      .filter(({id, isUp}) => isUp && !failedIds.has(id))
+      .filter((host) => Number(host.status().registry?.version) < version)
+      .map(({id}) => `version ${version} on ${id}`);
+  }
+
+  /** Versions that come into force late where the registry fails hosts just before the first of them. */
+  function lateVersions(
+    seed: number,
+    fail: (fleet: GrayFailureFleet) => readonly string[],
+    versions: number,
+  ): string[] {
+    const fleet = startFleet(seed);
+    const failedIds = new Set(fail(fleet));
+    const late: string[] = [];
+    for (let version = 2; version < 2 + versions; version += 1) {
+      fleet.queue.runUntil(fleet.queue.nowMs + 137 * (version % 4));
+      late.push(...lateHostIds(fleet, version, failedIds));
+    }
+    return late.map((text) => `seed ${seed}, ${text}`);
+  }
+
+  /** Leaves the calls of hosts to the registry without a response. */
+  function silence(fleet: GrayFailureFleet, hostIds: readonly string[]): readonly string[] {
+    for (const hostId of hostIds) {
+      fleet.registry.silentHostIds.add(hostId);
+    }
+    return hostIds;
+  }
+
+  function refuse(fleet: GrayFailureFleet, hostIds: readonly string[]): readonly string[] {
+    for (const hostId of hostIds) {
+      fleet.registry.refusedHostIds.add(hostId);
+    }
+    return hostIds;
+  }
+
+  // Guards against versions that wait until the reader's watch has timed out.
+  it('comes into force in time where the reader gets no responses any more', () => {
+    const late = seeds.flatMap((seed) =>
+      lateVersions(seed, (fleet) => silence(fleet, [readingHostId(fleet)]), 5),
+    );
+    expect(late).to.deep.equal([]);
+  });
+
+  it('comes into force in time where the reader and its substitute get no responses any more', () => {
+    const late = seeds.flatMap((seed) =>
+      lateVersions(seed, (fleet) => silence(fleet, readerIds(fleet)), 5),
+    );
+    expect(late).to.deep.equal([]);
+  });
+
+  it('comes into force in time where the hosts that read the registry are refused', () => {
+    const late = seeds.flatMap((seed) =>
+      lateVersions(seed, (fleet) => refuse(fleet, readerIds(fleet)), 5),
+    );
+    expect(late).to.deep.equal([]);
+  });
+
+  // Guards against hosts that take each other for working sources while none of them reads the registry.
+  it('comes into force in time where a third of the hosts is refused', () => {
+    const late = seeds.flatMap((seed) =>
+      lateVersions(seed, (fleet) => refuse(fleet, thirdOfHosts(fleet, seed)), 9),
+    );
+    expect(late).to.deep.equal([]);
+  });
+
+  it('comes into force in time where a third of the hosts gets no responses', () => {
+    const late = seeds.flatMap((seed) =>
+      lateVersions(seed, (fleet) => silence(fleet, thirdOfHosts(fleet, seed)), 9),
+    );
+    expect(late).to.deep.equal([]);
+  });
+
+  it('comes into force in time where the reader stands still', () => {
+    const late = seeds.flatMap((seed) =>
+      lateVersions(
+        seed,
+        (fleet) => {
+          const readerId = readingHostId(fleet);
+          fleet.hosts.get(readerId)?.pause(4_000);
+          return [readerId];
+        },
+        2,
+      ),
+    );
+    expect(late).to.deep.equal([]);
+  });
+
+  it('comes into force in time where a host that relays registry data stands still', () => {
+    const late = seeds.flatMap((seed) =>
+      lateVersions(
+        seed,
+        (fleet) => {
+          const relays = [...fleet.hosts.values()].filter(
+            (host) => host.status().registry?.role === 'relay',
+          );
+          relays[0]?.pause(4_000);
+          return relays.slice(0, 1).map(({id}) => id);
+        },
+        2,
+      ),
+    );
+    expect(late).to.deep.equal([]);
+  });
+});
--- a/packages/bench/src/__tests__/registryAndRateLimits.test.ts
+++ b/packages/bench/src/__tests__/registryAndRateLimits.test.ts
@@ -56,7 +56,7 @@
   it('reads the registry once for the whole fleet, which only its reader watches', () => {
     const fleet = createGrayFailureFleet(hash);
     fleet.queue.runUntil(startupMs);
-    expect(fleet.registryReads).to.have.length(1);
+    expect(fleet.registry.turns).to.have.length(1);
     const watching = [...fleet.hosts.values()].filter(
       (host) => host.status().registry?.source === host.id,
     );
@@ -70,23 +70,23 @@
       fleet.crashHost(hostId);
     }
     fleet.queue.runUntil(startupMs + 1_000);
-    const readsBefore = fleet.registryReads.length;
+    const readsBefore = fleet.registry.turns.length;
     restartAll(fleet);
     fleet.queue.runUntil(startupMs + 3_000);
-    expect(fleet.registryReads.length - readsBefore).to.be.at.most(4);
+    expect(fleet.registry.turns.length - readsBefore).to.be.at.most(4);
     expect(staleHostIds(fleet)).to.deep.equal([]);
   });
 
   it('reads the registry only on some hosts while it is down, and on all hosts is fresh after it', () => {
     const fleet = createGrayFailureFleet(hash, {hosts: 48});
     fleet.queue.runUntil(startupMs);
-    const readsBefore = fleet.registryReads.length;
-    fleet.isRegistryUp = false;
+    const readsBefore = fleet.registry.turns.length;
+    fleet.registry.isUp = false;
     fleet.queue.runUntil(startupMs + 5_000);
-    const readsPerSecond = (fleet.registryReads.length - readsBefore) / 5;
+    const readsPerSecond = (fleet.registry.turns.length - readsBefore) / 5;
     // A read by every host in each round of followers would be 32 a second.
     expect(readsPerSecond).to.be.below(16);
-    fleet.isRegistryUp = true;
+    fleet.registry.isUp = true;
     fleet.queue.runUntil(startupMs + 8_000);
     expect(staleHostIds(fleet)).to.deep.equal([]);
   });
@@ -97,7 +97,7 @@
       fleet.queue.runUntil(startupMs);
       for (const [index, host] of [...fleet.hosts.values()].entries()) {
         if (index % 3 === seed % 3 || host.status().registry?.role === 'reader') {
-          fleet.refusedByRegistry.add(host.id);
+          fleet.registry.refusedHostIds.add(host.id);
         }
       }
       for (let afterMs = 500; afterMs <= 9_000; afterMs += 500) {
@@ -123,7 +123,7 @@
       fleet.queue.runUntil(startupMs);
       for (const [index, host] of [...fleet.hosts.values()].entries()) {
         if (index % 3 === seed % 3 || host.status().registry?.role === 'reader') {
-          fleet.refusedByRegistry.add(host.id);
+          fleet.registry.refusedHostIds.add(host.id);
         }
       }
       // Operators allow more time right after the registry began to refuse hosts.
@@ -133,7 +133,7 @@
         fleet.publish([{kind: 'document', document: grayFailureDocument(version)}]);
         fleet.queue.runUntil(fleet.queue.nowMs + 2_000);
         for (const host of fleet.hosts.values()) {
-          const isServed = !fleet.refusedByRegistry.has(host.id);
+          const isServed = !fleet.registry.refusedHostIds.has(host.id);
           if (isServed && host.status().registry?.version !== version) {
             late.push(`seed ${seed}, version ${version}, ${host.id}`);
           }
@@ -159,13 +159,13 @@
   it('refuses requests of customers while the registry data is not fresh, and resumes afterwards', () => {
     const fleet = createGrayFailureFleet(hash);
     fleet.queue.runUntil(startupMs);
-    fleet.isRegistryUp = false;
+    fleet.registry.isUp = false;
     fleet.queue.runUntil(startupMs + 5_000);
     const before = fleet.outcomes.length;
     fleet.request('lookup', 'small', keyDigestOf('small'));
     fleet.queue.runUntil(startupMs + 5_100);
     expect(fleet.outcomes[before]).to.include({refusal: 'host-not-current', outcome: 'not-run'});
-    fleet.isRegistryUp = true;
+    fleet.registry.isUp = true;
     fleet.queue.runUntil(startupMs + 8_000);
     fleet.request('lookup', 'small', keyDigestOf('small'));
     fleet.queue.runUntil(startupMs + 10_000);
@@ -204,7 +204,7 @@
         fleet.network.cut(staleId, hostId);
         fleet.network.cut(hostId, staleId);
       }
-      fleet.refusedByRegistry.add(staleId);
+      fleet.registry.refusedHostIds.add(staleId);
       const [leftServer] = [...fleet.servers.values()];
       if (leftServer === undefined) {
         throw new Error('the fleet has no servers');
@@ -221,7 +221,7 @@
         {kind: 'serverGone', serverId: leftServer.id, revision: 3},
       ]);
       fleet.queue.runUntil(startupMs + 500);
-      fleet.isRegistryUp = false;
+      fleet.registry.isUp = false;
       for (const hostId of [...fleet.hosts.keys()]) {
         if (hostId !== staleId) {
           fleet.crashHost(hostId);
@@ -234,8 +234,8 @@
       }
       sendRandomLoad(fleet, {forMs: 12_000, customers: {small: 1, large: 1}});
       fleet.queue.runUntil(startupMs + 8_000);
-      fleet.isRegistryUp = true;
-      fleet.refusedByRegistry.clear();
+      fleet.registry.isUp = true;
+      fleet.registry.refusedHostIds.clear();
       fleet.queue.runUntil(startupMs + 16_000);
       const boundAtMs = startupMs + DEFAULT_FLEET_BOUNDS.keyWithdrawalMs;
       const late = fleet.outcomes.filter(({arrivedAtMs}) => arrivedAtMs > boundAtMs);
--- a/packages/bench/src/__tests__/roster.test.ts
+++ b/packages/bench/src/__tests__/roster.test.ts
@@ -96,7 +96,7 @@
     const fleet = createGrayFailureFleet(hash, {hosts: 292, dataCentres});
     fleet.queue.runUntil(startupMs);
     expectRunningHostsLive(fleet);
-    expect(fleet.registryReads).to.have.length(1);
+    expect(fleet.registry.turns).to.have.length(1);
     fleet.queue.runUntil(startupMs + 6_000);
     expectRunningHostsLive(fleet);
   }).timeout(largeFleetTimeoutMs);
--- a/packages/bench/src/gray-failure/grayFailureFleet.ts
+++ b/packages/bench/src/gray-failure/grayFailureFleet.ts
@@ -11,6 +11,7 @@
 import {SimulatedHost} from '../fleet/simulatedHost.ts';
 import {SimulatedNetwork} from '../fleet/simulatedNetwork.ts';
 import {GrayFailureServer} from './grayFailureServer.ts';
+import {SimulatedRegistry} from './simulatedRegistry.ts';
 
 /** How one caller request ended. */
 export interface RequestResult {
@@ -105,8 +106,6 @@
   readonly statuses: Map<number, number>;
 }
 
-/** Length of a registry watch without changes, in ms; the default of the hosts. */
-const registryWatchMs = 1_000;
 const slotsPerServer = 2;
 const maxWaiting = 8;
 /** Time that the caller allows for a request, in ms. */
@@ -131,8 +130,8 @@
   readonly refusedPaths = new Set<string>();
   /** Number of messages between hosts by type. */
   readonly peerMessageCounts = new Map<string, number>();
-  /** Reads of the whole registry, in the order of their start. */
-  readonly registryReads: {readonly hostId: string; readonly atMs: number}[] = [];
+  /** The registry from which the hosts get the document and the servers. */
+  readonly registry: SimulatedRegistry;
   /** Times at which attempts reached each server, in ms, by server. */
   readonly attemptTimesMs = new Map<string, number[]>();
   /** Hosts whose attempts reached each server, in the order of `attemptTimesMs`. */
@@ -143,24 +142,22 @@
   readonly attemptsByRequest = new Map<string, number>();
   readonly #options: GrayFailureFleetOptions;
   readonly #random: SeededRandom;
-  /** Hosts that read the registry at present. */
-  readonly #registryReaders = new Set<string>();
   readonly #pendingRequests = new Map<string, PendingRequest>();
-  readonly #publishedChanges: RegistryChange[] = [];
-  #revision = 1;
   #nextRequestId = 1;
-  /** False while the registry answers no host. */
-  isRegistryUp = true;
-  /** Hosts that the registry turns away while it answers the others. */
-  readonly refusedByRegistry = new Set<string>();
 
   constructor(options: Partial<GrayFailureFleetOptions> & RequiredOptions) {
     this.#options = {...DEFAULT_GRAY_FAILURE_FLEET_OPTIONS, silentPaths: new Set(), ...options};
     const {seed, document, hosts} = this.#options;
     this.#random = new SeededRandom(seed);
     this.network = new SimulatedNetwork(new SeededRandom(seed + 1));
-    this.#createServers();
-    this.#publishedChanges.push({kind: 'document', document});
+    this.registry = new SimulatedRegistry({
+      queue: this.queue,
+      deliver: (hostId, event) => {
+        this.hosts.get(hostId)?.deliver(event);
+      },
+      clockMsOf: (hostId) => this.hosts.get(hostId)?.nowMs() ?? 0,
+    });
+    this.registry.setInitial([...this.#createServers(), {kind: 'document', document}]);
     for (let number = 1; number <= hosts; number += 1) {
       this.startHost(number);
     }
@@ -210,7 +207,7 @@
   /** Ends the process at a host abruptly; its open requests get no result, and its attempts are abandoned. */
   crashHost(id: string): void {
     this.hosts.get(id)?.crash();
-    this.#registryReaders.delete(id);
+    this.registry.forget(id);
     for (const [key, {hostId, cancels}] of this.#pendingRequests) {
       if (hostId === id) {
         this.#pendingRequests.delete(key);
@@ -226,13 +223,9 @@
     this.queue.schedule(this.queue.nowMs + afterMs, run);
   }
 
-  /** Publishes changes in the registry and sends them to all hosts that read it. */
+  /** Publishes changes in the registry. */
   publish(changes: readonly RegistryChange[]): void {
-    this.#revision += 1;
-    this.#publishedChanges.push(...changes);
-    for (const hostId of this.#registryReaders) {
-      this.#sendRegistryUpdate(hostId, false, changes);
-    }
+    this.registry.publish(changes);
   }
 
   /** Registry entry of a server. */
@@ -248,7 +241,7 @@
       slots: server.slots,
       state,
       coldForMs: 0,
-      revision: this.#revision,
+      revision: this.registry.revision,
     };
   }
 
@@ -306,19 +299,21 @@
     this.publish([
       {
         kind: 'server',
-        server: {...this.registryEntryOf(server), revision: this.#revision + 1},
+        server: {...this.registryEntryOf(server), revision: this.registry.revision + 1},
       },
     ]);
     return server;
   }
 
-  #createServers(): void {
+  #createServers(): RegistryChange[] {
+    const changes: RegistryChange[] = [];
     for (const {id, servers} of this.#options.backends) {
       for (let number = 0; number < servers; number += 1) {
         const server = this.#createServer(id, number);
-        this.#publishedChanges.push({kind: 'server', server: this.registryEntryOf(server)});
+        changes.push({kind: 'server', server: this.registryEntryOf(server)});
       }
     }
+    return changes;
   }
 
   #createServer(backendId: string, number: number): GrayFailureServer {
@@ -345,7 +340,7 @@
         this.#sendToPeer(host, effect);
         return;
       case 'watchRegistry':
-        this.#setRegistryReader(host.id, effect.isWanted);
+        this.registry.setWatched(host.id, effect.isWanted, effect.afterRevision);
         return;
       case 'startAttempt':
         this.#startAttempt(host, effect);
@@ -407,47 +402,6 @@
     return from.dataCentre === dataCentre ? localDelayMs : remoteDelayMs;
   }
 
-  #setRegistryReader(hostId: string, isWanted: boolean): void {
-    if (!isWanted) {
-      this.#registryReaders.delete(hostId);
-      return;
-    }
-    this.#registryReaders.add(hostId);
-    this.registryReads.push({hostId, atMs: this.queue.nowMs});
-    this.#sendRegistryUpdate(hostId, true, this.#publishedChanges);
-    this.#confirmPeriodically(hostId);
-  }
-
-  /** Confirms to a registry reader, at the end of each watch, that what it read is current. */
-  #confirmPeriodically(hostId: string): void {
-    this.after(registryWatchMs, () => {
-      if (this.#registryReaders.has(hostId)) {
-        this.#sendRegistryUpdate(hostId, false, []);
-        this.#confirmPeriodically(hostId);
-      }
-    });
-  }
-
-  #sendRegistryUpdate(hostId: string, isWhole: boolean, changes: readonly RegistryChange[]): void {
-    const host = this.hosts.get(hostId);
-    if (host === undefined) {
-      return;
-    }
-    this.after(4, () => {
-      if (!this.isRegistryUp || this.refusedByRegistry.has(hostId)) {
-        host.deliver({type: 'registryUnreadable', reason: 'down'});
-        return;
-      }
-      host.deliver({
-        type: 'registryRead',
-        isWhole,
-        revision: this.#revision,
-        changes: [...changes],
-        asOfMs: host.nowMs() - 4,
-      });
-    });
-  }
-
   #isPathOpen(hostId: string, serverId: string): boolean {
     const path = `${hostId}>${serverId}`;
     return !this.silentPaths.has(path) && !this.refusedPaths.has(path);
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -23,4 +23,5 @@
 export {decodeServerNotice} from './dialect/decodeServerNotice.ts';
 export {budgetMs, digestOfKey, singleHeader} from './callers/requestHead.ts';
 export type {RegistryReading, RegistrySource} from './registry/registrySource.ts';
+export {DEFAULT_REGISTRY_WATCH_OPTIONS} from './registry/registryWatchTask.ts';
 export {waitForStopSignal} from './host/waitForStopSignal.ts';
