Registry data names the host that read it

Logs told from which host registry data came, not who read it, so that loops between hosts could not be told from a slow path. readByHostId is in the replies to queries, in registry.sourceFailed and in the status.

--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -387,6 +387,8 @@
   ageMs: z.number().min(0).optional(),
   /** Whether the sender's own source of the registry does not reply at present. */
   isFailing: z.boolean().optional(),
+  /** Host that read the newest of the data from the registry; absent before the first. */
+  readByHostId: z.string().optional(),
   /** Whether the changes are the whole content of the registry at the peer. */
   isWhole: z.boolean(),
   revision: versionSchema,
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -105,6 +105,8 @@
   #hasPeerReplied = false;
   /** Latest moment at which the registry surely held nothing newer than the view, in ms. */
   #confirmedAtMs = Number.NEGATIVE_INFINITY;
+  /** Host that read the newest of the data from the registry; undefined before the first. */
+  #readByHostId: string | undefined;
   /** Newest revision that the source announced since the last query for it; 0 for none. */
   #noticedRevision = 0;
   #pendingQuery: {readonly nonce: number; readonly queriedAtMs: number} | undefined;
@@ -154,6 +156,7 @@
           ageMs: Math.round(nowMs - this.#confirmedAtMs),
           source: this.#sources.current,
           role: this.#sources.role,
+          readByHostId: this.#readByHostId,
         };
         return [{type: 'statusReported', askId: message.askId, section: 'registry', value}];
       }
@@ -260,6 +263,7 @@
       reason,
       next: this.#sources.current,
       ageMs: Math.round(nowMs - this.#confirmedAtMs),
+      readByHostId: this.#readByHostId,
     };
     const log: CoreMessage = {type: 'log', level: 'warn', event: 'registry.sourceFailed', fields};
     const count: CoreMessage = {type: 'count', name: 'registry.sourceFailed', tags: {}};
@@ -283,7 +287,12 @@
 
   #onRead(message: RegistryRead, nowMs: number): readonly CoreMessage[] {
     this.#isFailing = false;
-    return this.#applyUpdate(message, message.asOfMs, 'registry', nowMs);
+    return this.#applyUpdate(
+      {...message, readByHostId: this.#options.selfId},
+      message.asOfMs,
+      'registry',
+      nowMs,
+    );
   }
 
   #onPeerMessage(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
@@ -319,6 +328,7 @@
       nonce: query.nonce,
       ageMs: Number.isFinite(ageMs) ? Math.max(0, ageMs) : undefined,
       isFailing: this.#isFailing ? true : undefined,
+      readByHostId: this.#readByHostId,
       isWhole,
       revision: this.#view.revision,
       documentVersion: this.#view.document?.version ?? 0,
@@ -369,14 +379,17 @@
 
   /** Applies registry data to the view and announces to the other tasks what changed. */
   #applyUpdate(
-    update: Pick<RegistryRead, 'isWhole' | 'revision' | 'changes'>,
+    update: Pick<RegistryAnswer, 'isWhole' | 'revision' | 'changes' | 'readByHostId'>,
     asOfMs: number,
     from: string,
     nowMs: number,
   ): readonly CoreMessage[] {
     const revisionBefore = this.#view.revision;
     const haveServersChanged = this.#view.apply(update, nowMs);
-    this.#confirmedAtMs = Math.max(this.#confirmedAtMs, asOfMs);
+    if (asOfMs >= this.#confirmedAtMs) {
+      this.#confirmedAtMs = asOfMs;
+      this.#readByHostId = update.readByHostId;
+    }
     return [
       ...this.#announceDocument(from, nowMs),
       ...(haveServersChanged ? this.#announceServers(nowMs) : []),
