Changes of the registry reach every host on two paths, and no host relies on its own data

What callers saw: a confirmed version was in force late on some hosts, by 0.02 to 0.35 s, while the store turned hosts away or gave those that read it no response; in the worst case the whole fleet had no fresh data and refused its callers.

Cause: a distance-vector loop and a single path. A refused reader took data from hosts that had it from itself; each counted the other as a working source until the data was 1.8 s old, so that nobody read the registry, and every three seconds hosts left a working source for a preferred one that did not reply. A reader without a response noticed it after 1.6 s, the hosts that query it up to 0.7 s later.

Change: two hosts watch the registry; every host queries its source and a standby in turn and fetches what either announces. A reader that loses the registry notifies the hosts that query it. Data that the host read itself is no sign of a working source, a peer takes the place of the source in use only once it works, and two hosts that read the registry do not stop because of each other. A watch lasts 0.6 s.

--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -402,6 +402,11 @@
   revision: versionSchema,
 });
 
+/** Notifies a host that queried recently that the sender no longer gets data from the registry. */
+export const registryLostSchema = z.object({
+  type: z.literal('registryLost'),
+});
+
 /** Queries the home of a backend for the server to which a request should be sent. */
 export const placeAskSchema = z.object({
   type: z.literal('placeAsk'),
@@ -554,6 +559,7 @@
   registryAskSchema,
   registryAnswerSchema,
   registryChangedSchema,
+  registryLostSchema,
   placeAskSchema,
   placeAnswerSchema,
   placeEndedSchema,
--- a/packages/core/src/registry/registrySources.ts
+++ b/packages/core/src/registry/registrySources.ts
@@ -2,9 +2,9 @@
 import type {LiveHost} from '../messages/hostMessages.ts';
 import type {HashFunction} from '../hash/hashFunction.ts';
 
-/** Hosts that read the registry for the whole fleet: the reader and its substitute. */
+/** Hosts that read the registry for the whole fleet. */
 const fleetReaderCount = 2;
-/** Hosts of each data centre that relay registry data to the others there: the relay and its substitute. */
+/** Hosts of each data centre that relay registry data to the others there. */
 const localRelayCount = 2;
 
 /** Identity of a host and the hash function by which it ranks the hosts. */
@@ -23,23 +23,24 @@
 /**
  * The sources from which a host gets the contents of the registry, in the order in which they are tried.
  *
- * One host of the fleet reads the registry, one host of each data centre queries that reader, and all others
- * query the relay of their data centre, so that neither the number of reads nor the traffic between data
- * centres grows with the fleet. Each has a substitute. The own host id as a source stands for a read of the
- * registry.
+ * Two hosts of the fleet read the registry, two hosts of each data centre query them, and all others query the
+ * relays of their data centre, so that neither the number of reads nor the traffic between data centres grows with
+ * the fleet. A host uses one source and has another as its standby: a change reaches it on either path, so that
+ * the failure of one host delays none. The own host id as a source stands for a read of the registry.
  */
 export class RegistrySources {
   readonly #options: RegistrySourcesOptions;
   #sourceIds: readonly string[];
   #index = 0;
   #role: RegistryRole = 'follower';
+  #firstReaderId = '';
 
   constructor(options: RegistrySourcesOptions) {
     this.#options = options;
     this.#sourceIds = [options.selfId];
   }
 
-  /** What this host does to distribute registry data; substitutes count as the host that they replace. */
+  /** What this host does to distribute registry data. */
   get role(): RegistryRole {
     return this.#role;
   }
@@ -59,6 +60,29 @@
     return this.#index === 0;
   }
 
+  /** Host that is queried besides the source in use: the most preferred other one; undefined where there is none. */
+  get standby(): string | undefined {
+    const {selfId} = this.#options;
+    return this.#sourceIds.find((id) => id !== this.current && id !== selfId);
+  }
+
+  /** True if a host is preferred to the source in use. */
+  isPreferred(hostId: string): boolean {
+    const index = this.#sourceIds.indexOf(hostId);
+    return index >= 0 && index < this.#index;
+  }
+
+  /** True if a host is preferred to a read of the registry by this host. */
+  isPreferredToRegistry(hostId: string): boolean {
+    const index = this.#sourceIds.indexOf(hostId);
+    return index >= 0 && index < this.#sourceIds.indexOf(this.#options.selfId);
+  }
+
+  /** True if this host is one of those that read the registry for the fleet. */
+  get isRegistryPreferred(): boolean {
+    return this.#sourceIds[0] === this.#options.selfId;
+  }
+
   /** Recomputes the order of the sources from the live hosts; a changed order starts at its first source. */
   setLiveHosts(liveHosts: readonly LiveHost[]): void {
     const {selfId} = this.#options;
@@ -73,15 +97,18 @@
         remoteRelayIds.push(...ranked.slice(0, 1));
       }
     }
+    this.#firstReaderId = readerIds[0] ?? selfId;
     this.#role = 'follower';
     let preferredIds: readonly string[] = relayIds;
     if (relayIds.includes(selfId)) {
       this.#role = 'relay';
-      preferredIds = [...idsUpTo(selfId, relayIds).slice(0, -1), ...readerIds, selfId];
+      // The relays of a data centre prefer different readers, so that they do not fail together.
+      const isFirstRelay = relayIds[0] === selfId;
+      preferredIds = [...(isFirstRelay ? readerIds : [...readerIds].reverse()), selfId];
     }
     if (readerIds.includes(selfId)) {
       this.#role = 'reader';
-      preferredIds = idsUpTo(selfId, readerIds);
+      preferredIds = [selfId];
     }
     const sourceIds = [
       ...new Set([...preferredIds, ...readerIds, ...relayIds, ...remoteRelayIds, selfId]),
@@ -103,6 +130,18 @@
     this.#index = 0;
   }
 
+  /** Changes to the first reader, so that of a fleet that starts as a whole only one host reads every page. */
+  useFirstReader(): void {
+    if (this.#role === 'reader') {
+      this.use(this.#firstReaderId);
+    }
+  }
+
+  /** Changes to the given source. */
+  use(hostId: string): void {
+    this.#index = Math.max(0, this.#sourceIds.indexOf(hostId));
+  }
+
   #groupByDataCentre(liveHosts: readonly LiveHost[]): Map<string, LiveHost[]> {
     const byDataCentre = new Map<string, LiveHost[]>();
     for (const host of liveHosts) {
@@ -121,8 +160,3 @@
     return ranked.map(({hostId}) => hostId);
   }
 }
-
-/** The ids before the given one and that one. */
-function idsUpTo(id: string, ids: readonly string[]): readonly string[] {
-  return ids.slice(0, ids.indexOf(id) + 1);
-}
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -5,7 +5,9 @@
 import type {PeerMessage, RegistryAnswer, RegistryAsk} from '../messages/peerMessages.ts';
 import type {HashFunction} from '../hash/hashFunction.ts';
 import type {RandomSource} from '../random/randomSource.ts';
+import {PendingQueries} from './pendingQueries.ts';
 import {RegistrySources} from './registrySources.ts';
+import {RegistrySubscribers} from './registrySubscribers.ts';
 import {RegistryView} from './registryView.ts';
 import {StartGate} from './startGate.ts';
 
@@ -25,8 +27,8 @@
   readonly replyTimeoutMs: number;
   /**
    * Age above which the registry data of a registry reader counts as too old and the next source is tried,
-   * in ms. Default: 1,800, the length of a registry watch without changes, the pause between two watches and
-   * some network delay. A relay may be one query interval behind its reader.
+   * in ms. Default: 1,300, the length of a registry watch without changes and the time after which a reader
+   * gives it up. A relay may be one query interval behind its reader.
    */
   readonly maxReplyAgeMs: number;
   /** True if the whole fleet starts for the first time, before callers connect. Default: false. */
@@ -40,11 +42,22 @@
   firstNonce: 1,
   queryIntervalMs: 700,
   replyTimeoutMs: 300,
-  maxReplyAgeMs: 1_800,
+  maxReplyAgeMs: 1_300,
   isFirstStart: false,
   transitMarginMs: 600,
 } as const;
 
+/** Where registry data comes from, and how recent it is. */
+interface UpdateOrigin {
+  /** Moment at which the registry surely held nothing newer, on the own clock, in ms. */
+  readonly asOfMs: number;
+  /** Host that sent the data, or `registry`. */
+  readonly from: string;
+  /** Host that read the data from the registry. */
+  readonly readByHostId: string;
+  readonly nowMs: number;
+}
+
 type RequiredRegistryOptions = Pick<
   RegistryTaskOptions,
   'selfId' | 'dataCentre' | 'hash' | 'bounds' | 'random'
@@ -55,26 +68,27 @@
 const tickIntervalMs = 50;
 /** Pause before a peer that has no registry data yet is queried again, in ms. */
 const emptyPeerRetryMs = 40;
-/** Delay of a reader or relay after all sources failed, in ms. */
-const readerRetryDelayMs = 400;
-/** Delay of every other host after all sources failed, in ms. */
-const followerRetryDelayMs = 1_500;
+/** Delay after all sources failed before the first is tried again, in ms; readers find first that the registry is back. */
+const retryDelayMsByRole = {reader: 400, relay: 1_000, follower: 1_500} as const;
 /**
  * Followers of the whole fleet that read the registry in each round in which their peers report that the
  * registry fails them. The registry may serve some hosts while it turns others away, and counts every call.
  */
 const lastResortReaders = 4;
-/** Time for which another source is used before the preferred source is tried again, in ms. */
+/** Time for which another source is used before a preferred one may take its place again, in ms. */
 const preferredSourceRetryMs = 3_000;
-/** Time after its last query for which a host is notified of registry changes, in ms. */
-const queryMemoryMs = 3_000;
 
 /**
  * Keeps the host's copy of the registry up to date. The registry is the store in which operators publish the
  * configuration document and the data centres out of service, and in which backend servers register themselves.
  *
- * One reader watches the registry for the fleet; every other host queries a peer and reads the registry only
- * if its peers fail (see `RegistrySources`).
+ * Two hosts watch the registry for the fleet; every other host queries two peers in turn, its source and a
+ * standby, and reads the registry only if its peers fail (see `RegistrySources`). A host that has new data notifies
+ * the hosts that queried it, which fetch it at once, whether or not it is the source that they use.
+ *
+ * Registry data names the host that read it. A host whose own source fails does not count a peer as working
+ * that only has data which this host read itself, and leaves a source that works only once a preferred one does:
+ * otherwise hosts would take each other for working sources while none of them reads the registry.
  *
  * Load pattern: all hosts start at once, or the registry is down or turns hosts away. Every call counts, so a
  * new process gets the registry data from peers where it can, and of the hosts whose peers fail only a few
@@ -98,8 +112,8 @@
   readonly #options: RegistryTaskOptions;
   readonly #view = new RegistryView();
   readonly #sources: RegistrySources;
-  /** When each host last sent a query, on the own clock, in ms. */
-  readonly #queriedAtMsByHost = new Map<string, number>();
+  readonly #subscribers = new RegistrySubscribers();
+  readonly #queries: PendingQueries;
   readonly #startGate: StartGate;
   /** True if a peer replied since the sources were last tried from the first on. */
   #hasPeerReplied = false;
@@ -107,24 +121,26 @@
   #confirmedAtMs = Number.NEGATIVE_INFINITY;
   /** Host that read the newest of the data from the registry; undefined before the first. */
   #readByHostId: string | undefined;
-  /** Newest revision that the source announced since the last query for it; 0 for none. */
-  #noticedRevision = 0;
-  #pendingQuery: {readonly nonce: number; readonly queriedAtMs: number} | undefined;
+  /** Newest revision that each host announced while a query to it was under way. */
+  readonly #noticedRevisions = new Map<string, number>();
   #nextQueryAtMs = 0;
+  /** True if the standby is queried next, in place of the source in use. */
+  #isStandbyNext = false;
   #preferredSourceRetryAtMs = 0;
   #isWatching = false;
-  #nextNonce: number;
   #announcedVersion = 0;
   #announcedLapsedIds = '';
   #wasFresh = false;
   /** True from the failure of a source until registry data arrives from a working source. */
   #isFailing = false;
+  /** True if the hosts that query this one were notified of that failure. */
+  #hasReportedLoss = false;
 
   constructor(options: Partial<RegistryTaskOptions> & RequiredRegistryOptions) {
     this.#options = {...DEFAULT_REGISTRY_OPTIONS, ...options};
     this.#sources = new RegistrySources(options);
     this.#startGate = new StartGate(this.#options.isFirstStart);
-    this.#nextNonce = this.#options.firstNonce;
+    this.#queries = new PendingQueries(this.#options.firstNonce);
   }
 
   receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
@@ -169,6 +185,9 @@
     this.#startGate.recordRoster(live.length, nowMs);
     const previousSource = this.#sources.current;
     this.#sources.setLiveHosts(live);
+    if (!this.#hasData) {
+      this.#sources.useFirstReader();
+    }
     if (previousSource === this.#sources.current) {
       return [];
     }
@@ -184,6 +203,7 @@
     }
     return [
       timer,
+      ...this.#checkUnanswered(nowMs),
       ...this.#pollSource(nowMs),
       ...this.#announceServersIfLapsesChanged(nowMs),
       ...this.#logFreshnessChange(nowMs),
@@ -195,40 +215,51 @@
     return Number.isFinite(this.#confirmedAtMs);
   }
 
-  /** Queries the current source when a query is due, or watches the registry if that is the source. */
+  /** Queries the source in use or its standby when a query is due, and watches the registry where that is the source. */
   #pollSource(nowMs: number): readonly CoreMessage[] {
-    const {queryIntervalMs, replyTimeoutMs} = this.#options;
-    const pending = this.#pendingQuery;
-    if (pending !== undefined && nowMs - pending.queriedAtMs >= replyTimeoutMs) {
-      this.#pendingQuery = undefined;
-      return this.#onSourceFailed('no answer', nowMs);
-    }
-    if (!this.#sources.isFirst && nowMs >= this.#preferredSourceRetryAtMs) {
-      this.#sources.reset();
-      this.#preferredSourceRetryAtMs = nowMs + preferredSourceRetryMs;
-    }
-    if (this.#sources.isSelf) {
-      return nowMs >= this.#nextQueryAtMs ? this.#setWatching(true) : [];
+    const messages: CoreMessage[] = [];
+    const {current, standby, isSelf} = this.#sources;
+    const isDue = nowMs >= this.#nextQueryAtMs;
+    if (isSelf) {
+      messages.push(...(isDue ? this.#setWatching(true) : []));
+    } else if (this.#hasData && this.#isRegistryRetryDue(nowMs)) {
+      // The peer stays the source until the registry replies.
+      messages.push(...this.#setWatching(true));
     }
-    if (this.#pendingQuery !== undefined || nowMs < this.#nextQueryAtMs) {
-      return this.#setWatching(false);
+    if (!isDue) {
+      return messages;
     }
-    this.#nextQueryAtMs = nowMs + queryIntervalMs;
-    return [...this.#setWatching(false), ...this.#sendQuery(nowMs)];
+    this.#nextQueryAtMs = nowMs + this.#options.queryIntervalMs;
+    const target = this.#isStandbyNext ? standby : current;
+    this.#isStandbyNext = !this.#isStandbyNext;
+    const isQueried = target !== undefined && target !== this.#options.selfId;
+    return isQueried ? [...messages, ...this.#sendQuery(target, nowMs)] : messages;
+  }
+
+  /** True where a host that should read the registry, but uses a peer, tries the registry again. */
+  #isRegistryRetryDue(nowMs: number): boolean {
+    return this.#sources.isRegistryPreferred && nowMs >= this.#preferredSourceRetryAtMs;
+  }
+
+  /** Moves on to the next source if the one in use did not reply in time. */
+  #checkUnanswered(nowMs: number): readonly CoreMessage[] {
+    const unansweredHostIds = this.#queries.endUnanswered(nowMs - this.#options.replyTimeoutMs);
+    return unansweredHostIds.includes(this.#sources.current)
+      ? this.#onSourceFailed('no answer', nowMs)
+      : [];
   }
 
-  #sendQuery(nowMs: number): readonly CoreMessage[] {
-    const nonce = this.#nextNonce;
-    this.#nextNonce += 1;
-    this.#pendingQuery = {nonce, queriedAtMs: nowMs};
-    const documentVersion = this.#view.document?.version ?? 0;
+  #sendQuery(toHostId: string, nowMs: number): readonly CoreMessage[] {
+    if (this.#queries.isPending(toHostId)) {
+      return [];
+    }
     const message = {
       type: 'registryAsk' as const,
-      nonce,
-      documentVersion,
+      nonce: this.#queries.start(toHostId, nowMs),
+      documentVersion: this.#view.document?.version ?? 0,
       revision: this.#view.revision,
     };
-    return [{type: 'sendToPeer', toHostId: this.#sources.current, message}];
+    return [{type: 'sendToPeer', toHostId, message}];
   }
 
   /** Starts or stops the watch of the registry. */
@@ -244,7 +275,8 @@
    * Moves on to the next source, or pauses once every source has failed.
    *
    * Operators see the reason in the log: the reply timed out ('no answer'), the source has no registry data
-   * ('knows nothing yet'), its data is too old ('old'), or its own source is failing ('fails itself').
+   * ('knows nothing yet'), its data is too old ('old'), its own source is failing ('fails itself'), it announced that
+   * it has no source any more ('lost the registry'), or it only has data of this host ('has only what this host read').
    */
   #onSourceFailed(reason: string, nowMs: number): readonly CoreMessage[] {
     const failedSource = this.#sources.current;
@@ -255,9 +287,9 @@
       this.#hasPeerReplied = false;
     }
     this.#preferredSourceRetryAtMs = nowMs + preferredSourceRetryMs;
-    const isFollower = this.#sources.role === 'follower';
-    const retryDelayMs = isFollower ? followerRetryDelayMs : readerRetryDelayMs;
-    this.#nextQueryAtMs = hasTriedAll ? nowMs + retryDelayMs : nowMs;
+    const retryDelayMs = hasTriedAll ? retryDelayMsByRole[this.#sources.role] : 0;
+    this.#nextQueryAtMs = nowMs + retryDelayMs;
+    this.#isStandbyNext = false;
     const fields = {
       failed: failedSource,
       reason,
@@ -267,7 +299,17 @@
     };
     const log: CoreMessage = {type: 'log', level: 'warn', event: 'registry.sourceFailed', fields};
     const count: CoreMessage = {type: 'count', name: 'registry.sourceFailed', tags: {}};
-    return [log, count, ...(hasTriedAll ? this.#setWatching(false) : this.#pollSource(nowMs))];
+    // A relay between two sources is not reported: all that query it would turn to the readers.
+    const isLost = hasTriedAll || failedSource === this.#options.selfId;
+    const isNewlyLost = isLost && !this.#hasReportedLoss;
+    this.#hasReportedLoss ||= isLost;
+    return [
+      log,
+      count,
+      ...(isNewlyLost ? this.#subscribers.notify({type: 'registryLost'}, nowMs) : []),
+      ...(hasTriedAll || !this.#sources.isSelf ? this.#setWatching(false) : []),
+      ...(hasTriedAll ? [] : this.#pollSource(nowMs)),
+    ];
   }
 
   /**
@@ -282,17 +324,29 @@
   }
 
   #onUnreadable(reason: string, nowMs: number): readonly CoreMessage[] {
-    return this.#sources.isSelf && this.#isWatching ? this.#onSourceFailed(reason, nowMs) : [];
+    if (!this.#isWatching) {
+      return [];
+    }
+    if (this.#sources.isSelf) {
+      return this.#onSourceFailed(reason, nowMs);
+    }
+    this.#preferredSourceRetryAtMs = nowMs + preferredSourceRetryMs;
+    return this.#setWatching(false);
   }
 
   #onRead(message: RegistryRead, nowMs: number): readonly CoreMessage[] {
-    this.#isFailing = false;
-    return this.#applyUpdate(
-      {...message, readByHostId: this.#options.selfId},
-      message.asOfMs,
-      'registry',
-      nowMs,
-    );
+    this.#recordWorkingSource();
+    const isBack = this.#sources.isRegistryPreferred && this.#isWatching;
+    const {selfId} = this.#options;
+    return [
+      ...(isBack ? this.#useSource(selfId) : []),
+      ...this.#applyUpdate(message, {
+        asOfMs: message.asOfMs,
+        from: 'registry',
+        readByHostId: selfId,
+        nowMs,
+      }),
+    ];
   }
 
   #onPeerMessage(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
@@ -302,25 +356,29 @@
       case 'registryAnswer':
         return this.#onReply(fromHostId, message, nowMs);
       case 'registryChanged':
-        if (fromHostId !== this.#sources.current) {
-          return [];
-        }
-        this.#noticedRevision = message.revision;
-        return this.#pendingQuery === undefined ? this.#queryNoticedChange(nowMs) : [];
+        this.#noticedRevisions.set(fromHostId, message.revision);
+        return this.#queryNoticedChange(fromHostId, nowMs);
+      case 'registryLost':
+        return fromHostId === this.#sources.current
+          ? this.#onSourceFailed('lost the registry', nowMs)
+          : [];
       default:
         return [];
     }
   }
 
-  /** Queries the source if it announced a revision that this host does not have. */
-  #queryNoticedChange(nowMs: number): readonly CoreMessage[] {
-    const needsQuery = this.#noticedRevision > this.#view.revision;
-    this.#noticedRevision = 0;
-    return needsQuery ? this.#sendQuery(nowMs) : [];
+  /** Queries a host if it announced a revision that this host does not have, after the query that is under way. */
+  #queryNoticedChange(fromHostId: string, nowMs: number): readonly CoreMessage[] {
+    if (this.#queries.isPending(fromHostId)) {
+      return [];
+    }
+    const noticedRevision = this.#noticedRevisions.get(fromHostId) ?? 0;
+    this.#noticedRevisions.delete(fromHostId);
+    return noticedRevision > this.#view.revision ? this.#sendQuery(fromHostId, nowMs) : [];
   }
 
   #replyTo(fromHostId: string, query: RegistryAsk, nowMs: number): readonly CoreMessage[] {
-    this.#queriedAtMsByHost.set(fromHostId, nowMs);
+    this.#subscribers.recordQuery(fromHostId, nowMs);
     const {isWhole, changes} = this.#view.changesSince(query, nowMs);
     const ageMs = nowMs - this.#confirmedAtMs;
     const message: RegistryAnswer = {
@@ -338,28 +396,79 @@
   }
 
   #onReply(fromHostId: string, reply: RegistryAnswer, nowMs: number): readonly CoreMessage[] {
-    const pending = this.#pendingQuery;
-    if (pending?.nonce !== reply.nonce) {
+    const queriedAtMs = this.#queries.end(reply.nonce);
+    if (queriedAtMs === undefined) {
       return [];
     }
-    this.#pendingQuery = undefined;
     this.#hasPeerReplied = true;
+    const isInUse = fromHostId === this.#sources.current;
     const {ageMs} = reply;
     if (ageMs === undefined) {
-      return this.#onEmptyReply(nowMs);
+      return isInUse ? this.#onEmptyReply(nowMs) : [];
     }
     const isBehind = reply.documentVersion < (this.#view.document?.version ?? 0);
-    const messages = isBehind
+    const readByHostId = reply.readByHostId ?? fromHostId;
+    const applied = isBehind
       ? []
-      : this.#applyUpdate(reply, pending.queriedAtMs - ageMs, fromHostId, nowMs);
+      : this.#applyUpdate(reply, {
+          asOfMs: queriedAtMs - ageMs,
+          from: fromHostId,
+          readByHostId,
+          nowMs,
+        });
+    const messages = [...applied, ...this.#queryNoticedChange(fromHostId, nowMs)];
+    const reason = this.#reasonNotToUse(reply, readByHostId);
+    if (reason !== undefined) {
+      return isInUse ? [...messages, ...this.#onSourceFailed(reason, nowMs)] : messages;
+    }
+    if (isInUse) {
+      this.#recordWorkingSource();
+      return messages;
+    }
+    return this.#mayReturnTo(fromHostId, readByHostId, nowMs)
+      ? [...messages, ...this.#useSource(fromHostId)]
+      : messages;
+  }
+
+  /** Why a reply shows that its sender is no working source; undefined if it is one. */
+  #reasonNotToUse(
+    {ageMs = 0, isFailing}: RegistryAnswer,
+    readByHostId: string,
+  ): string | undefined {
     if (ageMs > this.#maxReplyAgeMs) {
-      return [...messages, ...this.#onSourceFailed('old', nowMs)];
+      return 'old';
     }
-    if (reply.isFailing === true) {
-      return [...messages, ...this.#onSourceFailed('fails itself', nowMs)];
+    if (isFailing === true) {
+      return 'fails itself';
+    }
+    return readByHostId === this.#options.selfId ? 'has only what this host read' : undefined;
+  }
+
+  /** True if a peer that is a working source takes the place of the source in use. */
+  #mayReturnTo(hostId: string, readByHostId: string, nowMs: number): boolean {
+    if (!this.#sources.isPreferred(hostId) || nowMs < this.#preferredSourceRetryAtMs) {
+      return false;
     }
+    // Two hosts that read the registry must not both stop because of each other's data.
+    return !this.#sources.isSelf || this.#sources.isPreferredToRegistry(readByHostId);
+  }
+
+  #recordWorkingSource(): void {
     this.#isFailing = false;
-    return [...messages, ...this.#queryNoticedChange(nowMs)];
+    this.#hasReportedLoss = false;
+  }
+
+  #useSource(hostId: string): readonly CoreMessage[] {
+    if (hostId === this.#sources.current) {
+      return [];
+    }
+    this.#recordWorkingSource();
+    this.#sources.use(hostId);
+    const fields = {source: hostId, role: this.#sources.role};
+    return [
+      {type: 'log', level: 'info', event: 'registry.source', fields},
+      ...(this.#sources.isSelf ? [] : this.#setWatching(false)),
+    ];
   }
 
   /** Oldest registry data that this host accepts: that of a relay may be one query interval older. */
@@ -379,22 +488,20 @@
 
   /** Applies registry data to the view and announces to the other tasks what changed. */
   #applyUpdate(
-    update: Pick<RegistryAnswer, 'isWhole' | 'revision' | 'changes' | 'readByHostId'>,
-    asOfMs: number,
-    from: string,
-    nowMs: number,
+    update: Pick<RegistryRead, 'isWhole' | 'revision' | 'changes'>,
+    {asOfMs, from, readByHostId, nowMs}: UpdateOrigin,
   ): readonly CoreMessage[] {
     const revisionBefore = this.#view.revision;
     const haveServersChanged = this.#view.apply(update, nowMs);
     if (asOfMs >= this.#confirmedAtMs) {
       this.#confirmedAtMs = asOfMs;
-      this.#readByHostId = update.readByHostId;
+      this.#readByHostId = readByHostId;
     }
     return [
       ...this.#announceDocument(from, nowMs),
       ...(haveServersChanged ? this.#announceServers(nowMs) : []),
       ...this.#announceFreshUntil(),
-      ...(this.#view.revision > revisionBefore ? this.#notifyQueryingHosts(nowMs) : []),
+      ...(this.#view.revision > revisionBefore ? this.#notifySubscribers(nowMs) : []),
     ];
   }
 
@@ -471,16 +578,8 @@
   }
 
   /** Notifies the hosts that sent a query lately of the new revision. */
-  #notifyQueryingHosts(nowMs: number): readonly CoreMessage[] {
-    const messages: CoreMessage[] = [];
+  #notifySubscribers(nowMs: number): readonly CoreMessage[] {
     const message = {type: 'registryChanged' as const, revision: this.#view.revision};
-    for (const [hostId, queriedAtMs] of this.#queriedAtMsByHost) {
-      if (nowMs - queriedAtMs > queryMemoryMs) {
-        this.#queriedAtMsByHost.delete(hostId);
-        continue;
-      }
-      messages.push({type: 'sendToPeer', toHostId: hostId, message});
-    }
-    return messages;
+    return this.#subscribers.notify(message, nowMs);
   }
 }
--- a/packages/proxy/src/registry/registryWatchTask.ts
+++ b/packages/proxy/src/registry/registryWatchTask.ts
@@ -6,7 +6,10 @@
 export interface RegistryWatchTaskOptions {
   readonly source: RegistrySource;
   readonly timers: TimerService;
-  /** Time for which a watch waits for a change, in ms. Default: 1,000, half of the typical time to apply a change. */
+  /**
+   * Time for which a watch waits for a change, in ms. Default: 600. A watch without a response is noticed only after
+   * this time and the response timeout; other hosts have to read the change after that and still be in time.
+   */
   readonly watchMs: number;
   /**
    * Shortest time between the starts of two watches, in ms, so that changes of many servers arrive in one
@@ -20,7 +23,7 @@
 }
 
 export const DEFAULT_REGISTRY_WATCH_OPTIONS = {
-  watchMs: 1_000,
+  watchMs: 600,
   minIntervalMs: 300,
   retryMs: 400,
 } as const;
