An odd entry among those of the servers is left out on every host, and the others hold

What callers would see: beside an entry whose port is out of range, requests that were sent there hung until their deadline (13.8 s for the requests of the test); beside one with a duration too large, hosts stopped following the registry, so that a new version did not come into force.

Cause: the decoder checked the form of fields, not whether the rest of the host can use them. A port of 99999 made the URL parser throw where a connection is opened, outside of any error handling; a duration of 400 digits became infinite, which the schema of peer messages rejects, so that every reply of the reader was refused as a whole.

Change: the schema of a discovered server says what a host can use (id as a header value, origin, slots, cold time), and the decoder's result must satisfy it, as peers require.

--- a/packages/document/src/registrySchemas.ts
+++ b/packages/document/src/registrySchemas.ts
@@ -1,19 +1,29 @@
 import {z} from 'zod';
 import {documentSchema} from './documentSchema.ts';
 
+/** Longest id of a server, backend or data centre in an entry, in characters. */
+const maxNameLength = 200;
+/** Most requests that one server processes at the same time; an entry that names more is a mistake. */
+const maxSlots = 100_000;
+/** Longest time for which a server stays cold, in ms: a day. */
+const maxColdMs = 86_400_000;
+
 /** The registry entry of a backend server that registered itself. */
 export const discoveredServerSchema = z.object({
-  /** Id of one server instance; a server checks it against the instance that a request expects. */
-  id: z.string().min(1),
-  backendId: z.string().min(1),
+  /** Id of one server instance; a server checks it against the instance that a request expects, in a header. */
+  id: z
+    .string()
+    .max(maxNameLength)
+    .regex(/^[\x21-\x7e]+$/, 'must be visible ASCII characters'),
+  backendId: z.string().min(1).max(maxNameLength),
   /** Origin of the server: scheme, IP number and port. */
-  origin: z.string(),
-  dataCentre: z.string(),
+  origin: z.url({protocol: /^https?$/}),
+  dataCentre: z.string().max(maxNameLength),
   /** Requests that the server processes at the same time. */
-  slots: z.number().int().min(1),
+  slots: z.number().int().min(1).max(maxSlots),
   state: z.enum(['in-service', 'draining']),
   /** Time for which the server stays cold, that is warming up, counted from the read, in ms. */
-  coldForMs: z.number().min(0),
+  coldForMs: z.number().min(0).max(maxColdMs),
   /** Unix time of the server's start by its own clock, in ms; absent if it does not report it. */
   startedAtUnixMs: z.number().optional(),
   /** Registry revision of the last change of the entry. */
