One message that a task cannot handle does not end the task

What callers would see: a host that answers readiness checks and does nothing else: after one message whose handler throws, the mailbox of that task took no message any more, as it still counted as being drained.

Cause: the loop over the queue had no protection, and the process goes on after an unhandled error, as it should. Found by the entry with a port out of range: the URL parser threw in the handler of the task that owns the connections to servers.

Change: an error ends the handling of its message alone. It still reaches the process as an unhandled error, which is logged and counted as host.unexpected.

Evidence: mailbox.test.ts; before, of messages 1 to 4 with 2 unreadable, only 1 was handled.

--- a/packages/proxy/src/task/mailbox.ts
+++ b/packages/proxy/src/task/mailbox.ts
@@ -23,9 +23,16 @@
     });
   }
 
+  /** Handles all messages; an error ends only the handling of its message, and reaches the process as unhandled. */
   #drain(): void {
     for (const message of this.#queue) {
-      this.#handle(message);
+      try {
+        this.#handle(message);
+      } catch (error) {
+        queueMicrotask(() => {
+          throw error;
+        });
+      }
     }
     this.#queue.length = 0;
     this.#isScheduled = false;
