A registry that dropped its history is read at once

What callers would see: a version that is 0.3 s late where the store forgets its history, as the read of everything waited for the pause between two watches. Cause: the loop treated the answer 'history gone' like a finished watch. Change: the read follows in the same turn. Evidence: the new test saw no read within 100 ms before.

--- a/packages/proxy/src/__tests__/registryWatchTask.test.ts
+++ b/packages/proxy/src/__tests__/registryWatchTask.test.ts
@@ -27,4 +27,30 @@
     task.setEnabled(false, {epoch: 0, revision: 0});
     expect(watches).to.be.within(8, 10);
   });
+
+  // Guards against changes that wait for the pause between two watches after the registry dropped its history.
+  it('reads everything at once where the registry no longer stores the changes since its position', async () => {
+    const timers = new VirtualTimers();
+    const calls: string[] = [];
+    const task = new RegistryWatchTask({
+      timers,
+      postToCore: () => undefined,
+      count: () => undefined,
+      source: {
+        readAll: () => {
+          calls.push(`read at ${timers.nowMs()}`);
+          return Promise.resolve({epoch: 0, revision: 9, changes: []});
+        },
+        watch: () => {
+          calls.push(`watch at ${timers.nowMs()}`);
+          return Promise.resolve(undefined);
+        },
+        stop: () => Promise.resolve(),
+      },
+    });
+    task.setEnabled(true, {epoch: 0, revision: 5});
+    await timers.runUntil(100);
+    task.setEnabled(false, {epoch: 0, revision: 0});
+    expect(calls).to.deep.equal(['watch at 0', 'read at 0']);
+  });
 });
--- a/packages/proxy/src/registry/registryWatchTask.ts
+++ b/packages/proxy/src/registry/registryWatchTask.ts
@@ -106,6 +106,7 @@
     count('registry.watch');
     if (reading === undefined) {
       this.#position = undefined;
+      await this.#readAll();
       return;
     }
     // A watch that waited its full time without a change confirms the state as of the end of that wait.
