Hosts that were behind a return of the store learn which servers left since

What callers would see: requests reach a server up to two seconds after all hosts but one know that it left, at a host that learns of the return late. Cause: a reply with the whole registry leaves out removed servers, and a host that enters a new epoch uses servers that are left out until they could have registered again. Change: such a reply lists the removals of its epoch. Evidence: the new test failed before; four further tests of a return from a copy passed before and say what the view keeps and for how long.

--- a/packages/core/src/__tests__/registryView.test.ts
+++ b/packages/core/src/__tests__/registryView.test.ts
@@ -79,4 +79,79 @@
       true,
     );
   });
+
+  describe('where the registry returned from a copy', () => {
+    /** A change with the entry of a server that has written it a number of times since its start. */
+    function written(
+      id: string,
+      {revision, writeCount, state}: Pick<DiscoveredServer, 'revision' | 'writeCount' | 'state'>,
+    ): RegistryChange {
+      const change = server(id, revision, state);
+      return change.kind === 'server'
+        ? {...change, server: {...change.server, writeCount}}
+        : change;
+    }
+
+    it('retains what a server stated last where an older entry of it is back', () => {
+      const view = new RegistryView();
+      const draining = written('s', {revision: 9, writeCount: 5, state: 'draining'});
+      view.apply({isWhole: true, epoch: 1, revision: 9, changes: [draining]}, 0);
+      const older = written('s', {revision: 3, writeCount: 2, state: 'in-service'});
+      view.apply({isWhole: true, epoch: 2, revision: 4, changes: [older]}, 10);
+      expect(view.servers(10)[0]?.state).to.equal('draining');
+      view.apply({isWhole: true, epoch: 2, revision: 4, changes: [older]}, 5_000);
+      expect(view.servers(5_000)[0]?.state).to.equal('draining');
+      const restarted = written('s', {revision: 6, writeCount: 1, state: 'in-service'});
+      view.apply({isWhole: false, epoch: 2, revision: 6, changes: [restarted]}, 5_010);
+      expect(view.servers(5_010)[0]?.state).to.equal('in-service');
+    });
+
+    it('does not use a server that left before, unless it registers again', () => {
+      const view = new RegistryView();
+      const entry = written('s', {revision: 3, writeCount: 2, state: 'in-service'});
+      view.apply({isWhole: true, epoch: 1, revision: 3, changes: [entry]}, 0);
+      const removal: RegistryChange = {kind: 'serverGone', serverId: 's', revision: 9};
+      view.apply({isWhole: false, epoch: 1, revision: 9, changes: [removal]}, 10);
+      view.apply({isWhole: true, epoch: 2, revision: 4, changes: [entry]}, 20);
+      expect(view.servers(20)).to.have.length(0);
+      const again = written('s', {revision: 5, writeCount: 3, state: 'in-service'});
+      view.apply({isWhole: false, epoch: 2, revision: 5, changes: [again]}, 30);
+      expect(view.servers(30)).to.have.length(1);
+    });
+
+    it('tells a peer of a former epoch which servers left since', () => {
+      const view = new RegistryView();
+      view.apply({isWhole: true, epoch: 2, revision: 4, changes: [server('s', 3)]}, 0);
+      const removal: RegistryChange = {kind: 'serverGone', serverId: 's', revision: 5};
+      view.apply({isWhole: false, epoch: 2, revision: 5, changes: [removal]}, 10);
+      const peer = new RegistryView();
+      peer.apply({isWhole: true, epoch: 1, revision: 30, changes: [server('s', 3)]}, 0);
+      const reply = view.changesSince({documentVersion: 0, ...peer.position}, 20);
+      peer.apply({...reply, ...view.position}, 20);
+      expect(peer.servers(20)).to.have.length(0);
+    });
+
+    it('ignores updates of a former epoch, and changes of a new one before it was read as a whole', () => {
+      const view = new RegistryView();
+      view.apply({isWhole: true, epoch: 2, revision: 4, changes: [server('s', 3)]}, 0);
+      view.apply({isWhole: true, epoch: 1, revision: 90, changes: []}, 10);
+      view.apply({isWhole: false, epoch: 3, revision: 5, changes: [server('t', 5)]}, 20);
+      expect(view.servers(20).map(({id}) => id)).to.deep.equal(['s']);
+      expect(view.position).to.deep.equal({epoch: 2, revision: 4});
+    });
+
+    it('follows the registry again where nothing was published in time', () => {
+      const view = new RegistryView();
+      const out: RegistryChange = {kind: 'dataCentreOut', dataCentre: 'dc', revision: 8};
+      view.apply({isWhole: true, epoch: 1, revision: 9, changes: [server('s', 7), out]}, 0);
+      view.apply({isWhole: true, epoch: 2, revision: 4, changes: []}, 10);
+      view.endExpired(1_500);
+      expect(view.servers(1_500)).to.have.length(1);
+      view.endExpired(2_100);
+      expect(view.servers(2_100)).to.have.length(0);
+      expect(view.outOfService).to.deep.equal(['dc']);
+      view.endExpired(10_100);
+      expect(view.outOfService).to.deep.equal([]);
+    });
+  });
 });
--- a/packages/core/src/registry/registryView.ts
+++ b/packages/core/src/registry/registryView.ts
@@ -110,7 +110,8 @@
     if (!isAfter(this.#position, {epoch, revision})) {
       return {isWhole: false, changes};
     }
-    const isWhole = epoch < this.#position.epoch || revision < this.#historyFromRevision;
+    const isOfFormerEpoch = epoch < this.#position.epoch;
+    const isWhole = isOfFormerEpoch || revision < this.#historyFromRevision;
     for (const server of this.servers(nowMs)) {
       if (isWhole && this.#servers.isUnconfirmed(server.id)) {
         changes.push({kind: 'server', server, isUnconfirmed: true});
@@ -118,8 +119,9 @@
         changes.push({kind: 'server', server});
       }
     }
-    if (!isWhole) {
-      for (const removal of this.#servers.removalsAfter(revision)) {
+    // A peer of a former epoch would use servers that the whole leaves out until they could have registered again.
+    if (!isWhole || isOfFormerEpoch) {
+      for (const removal of this.#servers.removalsAfter(isWhole ? 0 : revision)) {
         changes.push({kind: 'serverGone', ...removal});
       }
     }
