--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -6,6 +6,7 @@
 import type {HashFunction} from '../hash/hashFunction.ts';
 import type {RandomSource} from '../random/randomSource.ts';
 import {PendingQueries} from './pendingQueries.ts';
+import {RegistryAnnouncer} from './registryAnnouncer.ts';
 import {RegistrySources} from './registrySources.ts';
 import {RegistrySubscribers} from './registrySubscribers.ts';
 import {isAfter} from './registryPosition.ts';
@@ -114,6 +115,7 @@
 
   readonly #options: RegistryTaskOptions;
   readonly #view = new RegistryView();
+  readonly #announcer: RegistryAnnouncer;
   readonly #sources: RegistrySources;
   readonly #subscribers = new RegistrySubscribers();
   readonly #queries: PendingQueries;
@@ -131,9 +133,6 @@
   #isStandbyNext = false;
   #preferredSourceRetryAtMs = 0;
   #isWatching = false;
-  #announcedVersion = 0;
-  #announcedLapsedIds = '';
-  #wasFresh = false;
   /** True from the failure of a source until registry data arrives from a working source. */
   #isFailing = false;
   /** True if the hosts that query this one were notified of that failure. */
@@ -141,6 +140,8 @@
 
   constructor(options: Partial<RegistryTaskOptions> & RequiredRegistryOptions) {
     this.#options = {...DEFAULT_REGISTRY_OPTIONS, ...options};
+    const {bounds, transitMarginMs} = this.#options;
+    this.#announcer = new RegistryAnnouncer({view: this.#view, bounds, transitMarginMs});
     this.#sources = new RegistrySources(options);
     this.#startGate = new StartGate(this.#options.isFirstStart);
     this.#queries = new PendingQueries(this.#options.firstNonce);
@@ -165,7 +166,7 @@
         const fields = {lostMs: Math.round(message.lostMs)};
         return [
           {type: 'log', level: 'warn', event: 'host.timeLost', fields},
-          ...this.#announceFreshUntil(),
+          ...this.#announcer.announceFreshUntil(this.#confirmedAtMs),
         ];
       }
       case 'statusWanted': {
@@ -208,8 +209,8 @@
       timer,
       ...this.#checkUnanswered(nowMs),
       ...this.#pollSource(nowMs),
-      ...this.#announceServersIfLapsesChanged(nowMs),
-      ...this.#logFreshnessChange(nowMs),
+      ...this.#announcer.announceServersIfLapsesChanged(nowMs),
+      ...this.#announcer.logFreshnessChange(nowMs - this.#confirmedAtMs),
     ];
   }
 
@@ -515,88 +516,13 @@
       this.#readByHostId = readByHostId;
     }
     return [
-      ...this.#announceDocument(from, nowMs),
-      ...(haveServersChanged ? this.#announceServers(nowMs) : []),
-      ...this.#announceFreshUntil(),
+      ...this.#announcer.announceDocument(from, nowMs - this.#confirmedAtMs),
+      ...(haveServersChanged ? this.#announcer.announceServers(nowMs) : []),
+      ...this.#announcer.announceFreshUntil(this.#confirmedAtMs),
       ...(isAfter(this.#view.position, positionBefore) ? this.#notifySubscribers(nowMs) : []),
     ];
   }
 
-  #announceDocument(from: string, nowMs: number): readonly CoreMessage[] {
-    const {document} = this.#view;
-    if (document === undefined || document.version <= this.#announcedVersion) {
-      return [];
-    }
-    const fields = {
-      version: document.version,
-      before: this.#announcedVersion,
-      from,
-      ageMs: Math.round(nowMs - this.#confirmedAtMs),
-      routes: document.routes.length,
-      customers: document.customers.length,
-    };
-    this.#announcedVersion = document.version;
-    const manifest = {formatVersion: 1 as const, version: document.version, parts: []};
-    return [
-      {type: 'documentInForce', document, manifest},
-      {type: 'log', level: 'info', event: 'configuration.inForce', fields},
-      {type: 'count', name: 'configuration.inForce', tags: {}},
-    ];
-  }
-
-  #announceServers(nowMs: number): readonly CoreMessage[] {
-    const lapsed = this.#view.lapsedServers(nowMs);
-    const lapsedServerIds = lapsed.map(({id}) => id);
-    this.#announcedLapsedIds = lapsedServerIds.join(' ');
-    const servers = [...this.#view.servers(nowMs), ...lapsed];
-    const {outOfService} = this.#view;
-    const draining = servers.filter(({state}) => state === 'draining').map(({id}) => id);
-    const fields = {
-      ...this.#view.position,
-      servers: servers.length,
-      draining,
-      lapsed: lapsedServerIds,
-      outOfService,
-    };
-    return [
-      {type: 'registeredServersChanged', servers, lapsedServerIds, outOfService},
-      {type: 'log', level: 'info', event: 'registry.servers', fields},
-    ];
-  }
-
-  /** Announces the servers again if an entry lapsed or was not published again in time. */
-  #announceServersIfLapsesChanged(nowMs: number): readonly CoreMessage[] {
-    if (this.#view.endExpired(nowMs)) {
-      return this.#announceServers(nowMs);
-    }
-    const lapsed = this.#view
-      .lapsedServers(nowMs)
-      .map(({id}) => id)
-      .join(' ');
-    return lapsed === this.#announcedLapsedIds ? [] : this.#announceServers(nowMs);
-  }
-
-  /** Announces until when this host may serve customers on the registry data it has. */
-  #announceFreshUntil(): readonly CoreMessage[] {
-    const {bounds, transitMarginMs} = this.#options;
-    return [
-      {type: 'freshUntil', untilMs: this.#confirmedAtMs + bounds.keyWithdrawalMs - transitMarginMs},
-    ];
-  }
-
-  /** Logs when the registry data becomes too old to serve customers, and when it is fresh again. */
-  #logFreshnessChange(nowMs: number): readonly CoreMessage[] {
-    const {bounds, transitMarginMs} = this.#options;
-    const ageMs = nowMs - this.#confirmedAtMs;
-    const isFresh = ageMs <= bounds.keyWithdrawalMs - transitMarginMs;
-    if (isFresh === this.#wasFresh) {
-      return [];
-    }
-    this.#wasFresh = isFresh;
-    const event = isFresh ? 'registry.fresh' : 'registry.stale';
-    return [{type: 'log', level: 'warn', event, fields: {ageMs: Math.round(ageMs)}}];
-  }
-
   /** Notifies the hosts that sent a query lately of the new revision. */
   #notifySubscribers(nowMs: number): readonly CoreMessage[] {
     const message = {type: 'registryChanged' as const, ...this.#view.position};
