--- a/packages/bench/src/__tests__/lateConfiguration.test.ts
+++ b/packages/bench/src/__tests__/lateConfiguration.test.ts
@@ -157,4 +157,42 @@
     );
     expect(late).to.deep.equal([]);
   });
+
+  // Guards against relays that notice late that no reader replies, as they query each of them only in turn.
+  it('comes into force in time in data centres that are cut off from each other', () => {
+    const late = seeds.flatMap((seed) =>
+      lateVersions(
+        seed,
+        (fleet) => {
+          for (const one of fleet.hosts.values()) {
+            for (const other of fleet.hosts.values()) {
+              if (one.dataCentre !== other.dataCentre) {
+                fleet.network.cut(one.id, other.id);
+              }
+            }
+          }
+          return [];
+        },
+        5,
+      ),
+    );
+    expect(late).to.deep.equal([]);
+  });
+
+  it('comes into force in time where the hosts of the readers lose their power', () => {
+    const late = seeds.flatMap((seed) =>
+      lateVersions(
+        seed,
+        (fleet) => {
+          const ids = readerIds(fleet);
+          for (const id of ids) {
+            fleet.crashHost(id);
+          }
+          return ids;
+        },
+        3,
+      ),
+    );
+    expect(late).to.deep.equal([]);
+  });
 });
