A host that is no reader any more stops reading the registry

What callers would see: nothing; operators pay for calls to the store by hosts whose role has gone to others after a restart or a network partition. Cause: the change of sources left the watch on, since the check in each poll had gone with the return to sources that work. Change: a change of the roster ends the watch of a host that is neither a reader nor reads in place of its peers.

--- a/packages/bench/src/__tests__/registryAndRateLimits.test.ts
+++ b/packages/bench/src/__tests__/registryAndRateLimits.test.ts
@@ -77,6 +77,30 @@
     expect(staleHostIds(fleet)).to.deep.equal([]);
   });
 
+  // Guards against hosts that go on reading the registry after others have become its readers.
+  it('is watched by two hosts only after hosts restarted and after the readers changed', () => {
+    for (const seed of [1, 2, 3]) {
+      const fleet = createGrayFailureFleet(hash, {seed});
+      fleet.queue.runUntil(startupMs);
+      for (const hostId of fleet.hosts.keys()) {
+        fleet.crashHost(hostId);
+      }
+      fleet.queue.runUntil(startupMs + 1_000);
+      restartAll(fleet);
+      fleet.queue.runUntil(startupMs + 9_000);
+      expect(fleet.registry.watchingHostIds, `seed ${seed}, restart`).to.have.length(2);
+      const [lostReader = ''] = fleet.registry.watchingHostIds;
+      for (const hostId of fleet.hosts.keys()) {
+        fleet.network.cut(lostReader, hostId);
+        fleet.network.cut(hostId, lostReader);
+      }
+      fleet.queue.runUntil(startupMs + 24_000);
+      fleet.network.heal();
+      fleet.queue.runUntil(startupMs + 44_000);
+      expect(fleet.registry.watchingHostIds, `seed ${seed}, network`).to.have.length(2);
+    }
+  });
+
   it('reads the registry only on some hosts while it is down, and on all hosts is fresh after it', () => {
     const fleet = createGrayFailureFleet(hash, {hosts: 48});
     fleet.queue.runUntil(startupMs);
--- a/packages/bench/src/gray-failure/simulatedRegistry.ts
+++ b/packages/bench/src/gray-failure/simulatedRegistry.ts
@@ -85,6 +85,11 @@
     return this.#revision;
   }
 
+  /** Hosts that watch the registry. */
+  get watchingHostIds(): string[] {
+    return [...this.#watchers].filter(([, {isWanted}]) => isWanted).map(([hostId]) => hostId);
+  }
+
   /** Sets what the registry holds before the first host starts. */
   setInitial(changes: readonly RegistryChange[]): void {
     this.#record(changes);
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -192,11 +192,15 @@
     if (!this.#hasData) {
       this.#sources.useFirstReader();
     }
-    if (previousSource === this.#sources.current) {
+    const {current, role, isSelf, isRegistryPreferred} = this.#sources;
+    if (previousSource === current) {
       return [];
     }
-    const fields = {source: this.#sources.current, role: this.#sources.role};
-    return [{type: 'log', level: 'info', event: 'registry.source', fields}];
+    const fields = {source: current, role};
+    return [
+      {type: 'log', level: 'info', event: 'registry.source', fields},
+      ...(isSelf || isRegistryPreferred ? [] : this.#setWatching(false)),
+    ];
   }
 
   #onTick(nowMs: number): readonly CoreMessage[] {
