--- a/packages/core/src/registry/registryAnnouncer.ts
+++ b/packages/core/src/registry/registryAnnouncer.ts
@@ -68,7 +68,7 @@
   }
 
   /** Announces the servers again if an entry lapsed or was not published again in time. */
-  announceServersIfLapsesChanged(nowMs: number): readonly CoreMessage[] {
+  announceServersIfExpired(nowMs: number): readonly CoreMessage[] {
     if (this.#view.endExpired(nowMs)) {
       return this.announceServers(nowMs);
     }
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -213,7 +213,7 @@
       timer,
       ...this.#checkUnanswered(nowMs),
       ...this.#pollSource(nowMs),
-      ...this.#announcer.announceServersIfLapsesChanged(nowMs),
+      ...this.#announcer.announceServersIfExpired(nowMs),
       ...this.#announcer.logFreshnessChange(nowMs - this.#confirmedAtMs),
     ];
   }
