--- a/packages/core/src/registry/registrySources.ts
+++ b/packages/core/src/registry/registrySources.ts
@@ -33,6 +33,7 @@
   #sourceIds: readonly string[];
   #index = 0;
   #role: RegistryRole = 'follower';
+  /** Reader that ranks first; the own id before any other host is known. */
   #firstReaderId = '';
 
   constructor(options: RegistrySourcesOptions) {
@@ -55,11 +56,6 @@
     return this.current === this.#options.selfId;
   }
 
-  /** True if the preferred source is in use. */
-  get isFirst(): boolean {
-    return this.#index === 0;
-  }
-
   /** Host that is queried besides the source in use: the most preferred other one; undefined where there is none. */
   get standby(): string | undefined {
     const {selfId} = this.#options;
