A new process gets its first registry data from the oldest host that it may query

What callers saw: in one of the runs of restoredStore.test.ts under load, requests reached a data centre that was evacuated and a server that drains, after the hosts that read the store had been replaced during its return. A new process that reads the copy before it hears of the others has nothing else. Change: a process without data turns to the oldest host among its sources, which knows what the copy lost; replies with everything also list the servers that left, with their last entry.

--- a/packages/core/src/registry/registeredServers.ts
+++ b/packages/core/src/registry/registeredServers.ts
@@ -29,6 +29,8 @@
 export interface ServerRemoval {
   readonly serverId: string;
   readonly revision: number;
+  /** Last entry of the server; undefined if unknown. */
+  readonly server?: DiscoveredServer | undefined;
 }
 
 /** Time for which removals are stored for peers that query the changes, in ms. */
@@ -97,7 +99,7 @@
     const removals: ServerRemoval[] = [];
     for (const [serverId, removed] of this.#removedServers) {
       if (!removed.isOfFormerEpoch && removed.revision > revision) {
-        removals.push({serverId, revision: removed.revision});
+        removals.push({serverId, revision: removed.revision, server: removed.server});
       }
     }
     return removals;
@@ -155,8 +157,12 @@
   }
 
   /** Removes an entry; returns true if there was one. */
-  remove({serverId, revision}: ServerRemoval, nowMs: number): boolean {
+  remove({serverId, revision, server}: ServerRemoval, nowMs: number): boolean {
     const current = this.#servers.get(serverId);
+    if (current === undefined && server !== undefined && !this.#removedServers.has(serverId)) {
+      this.#rememberRemoval(server, revision, nowMs);
+      return false;
+    }
     if (current === undefined || current.server.revision > revision) {
       return false;
     }
@@ -171,6 +177,17 @@
     return true;
   }
 
+  /** Records that a server left before this host knew it. */
+  #rememberRemoval(server: DiscoveredServer, revision: number, nowMs: number): void {
+    this.#removedServers.set(server.id, {
+      server,
+      revision,
+      removedAtMs: nowMs,
+      isUnannounced: false,
+      isOfFormerEpoch: false,
+    });
+  }
+
   /** Removes the servers that a read of the whole registry does not list; returns true if there were any. */
   removeUnlisted(listedIds: ReadonlySet<string>, revision: number, nowMs: number): boolean {
     let hasChanged = false;
--- a/packages/core/src/registry/registrySources.ts
+++ b/packages/core/src/registry/registrySources.ts
@@ -7,6 +7,9 @@
 /** Hosts of each data centre that relay registry data to the others there. */
 const localRelayCount = 2;
 
+/** Hosts whose processes start within this time count as started together, in ms. */
+const fleetStartMs = 2_000;
+
 /** Identity of a host and the hash function by which it ranks the hosts. */
 export interface RegistrySourcesOptions {
   readonly selfId: string;
@@ -126,9 +129,20 @@
     this.#index = 0;
   }
 
-  /** Changes to the first reader, so that of a fleet that starts as a whole only one host reads every page. */
-  useFirstReader(): void {
-    if (this.#role === 'reader') {
+  /**
+   * Changes to the source of a new process: the oldest host, which knows what a registry that returned from a copy has
+   * lost. In a fleet that starts as a whole it is the first reader, so that only one host reads every page.
+   */
+  useForFirstData(liveHosts: readonly LiveHost[]): void {
+    const {selfId} = this.#options;
+    const bornMsById = new Map(liveHosts.map(({hostId, bornMs}) => [hostId, bornMs]));
+    const bornMsOf = (id: string): number => bornMsById.get(id) ?? Number.POSITIVE_INFINITY;
+    const [oldestId = selfId] = [...this.#sourceIds].sort(
+      (one, other) => bornMsOf(one) - bornMsOf(other),
+    );
+    if (bornMsOf(oldestId) < bornMsOf(selfId) - fleetStartMs) {
+      this.use(oldestId);
+    } else if (this.#role === 'reader') {
       this.use(this.#firstReaderId);
     }
   }
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -190,7 +190,7 @@
     const previousSource = this.#sources.current;
     this.#sources.setLiveHosts(live);
     if (!this.#hasData) {
-      this.#sources.useFirstReader();
+      this.#sources.useForFirstData(live);
     }
     const {current, role, isSelf, isRegistryPreferred} = this.#sources;
     if (previousSource === current) {
--- a/packages/core/src/registry/registryView.ts
+++ b/packages/core/src/registry/registryView.ts
@@ -110,8 +110,7 @@
     if (!isAfter(this.#position, {epoch, revision})) {
       return {isWhole: false, changes};
     }
-    const isOfFormerEpoch = epoch < this.#position.epoch;
-    const isWhole = isOfFormerEpoch || revision < this.#historyFromRevision;
+    const isWhole = epoch < this.#position.epoch || revision < this.#historyFromRevision;
     for (const server of this.servers(nowMs)) {
       if (isWhole && this.#servers.isUnconfirmed(server.id)) {
         changes.push({kind: 'server', server, isUnconfirmed: true});
@@ -119,11 +118,9 @@
         changes.push({kind: 'server', server});
       }
     }
-    // A peer of a former epoch would use servers that the whole leaves out until they could have registered again.
-    if (!isWhole || isOfFormerEpoch) {
-      for (const removal of this.#servers.removalsAfter(isWhole ? 0 : revision)) {
-        changes.push({kind: 'serverGone', ...removal});
-      }
+    // Also with the whole: a registry that returns from a copy may list servers again that left.
+    for (const removal of this.#servers.removalsAfter(isWhole ? 0 : revision)) {
+      changes.push({kind: 'serverGone', ...removal});
     }
     for (const {dataCentre, isOut, revision: outRevision, isUnconfirmed} of this.#outages.list()) {
       if (isUnconfirmed && !isWhole) {
--- a/packages/document/src/registrySchemas.ts
+++ b/packages/document/src/registrySchemas.ts
@@ -51,7 +51,13 @@
     server: discoveredServerSchema,
     isUnconfirmed: isUnconfirmedSchema,
   }),
-  z.object({kind: z.literal('serverGone'), serverId: z.string(), revision: z.number().int()}),
+  z.object({
+    kind: z.literal('serverGone'),
+    serverId: z.string(),
+    revision: z.number().int(),
+    /** Last entry of the server; absent if unknown. */
+    server: discoveredServerSchema.optional(),
+  }),
   z.object({
     kind: z.literal('dataCentreOut'),
     dataCentre: z.string(),
