A new process believes older processes rather than a copy that it read itself

Cause: a new process that hears of no other host in time reads the copy, and has the same position as the others then, so that no query ever told it what they know beyond the registry.

Change: a process says in its queries for how long it has had registry data, until an older process has replied with everything that it knows; that reply applies at an equal position.

Evidence: the new test in registryTask.test.ts, in which an older and a younger process read the same copy, fails with the reply left out and passes with it.

--- a/packages/core/src/__tests__/registryTask.test.ts
+++ b/packages/core/src/__tests__/registryTask.test.ts
@@ -1,6 +1,8 @@
 import {expect} from 'chai';
 import {DEFAULT_FLEET_BOUNDS} from '../fleet/fleetBounds.ts';
+import type {RegistryChange} from '@godwitspring/document';
 import type {CoreMessage} from '../messages/coreMessage.ts';
+import type {PeerMessage} from '../messages/peerMessages.ts';
 import {SeededRandom} from '../random/seededRandom.ts';
 import {RegistryTask} from '../registry/registryTask.ts';
 
@@ -112,4 +114,68 @@
     const later = sentQuery(task.receive(reply('d', next?.nonce ?? 0, false), settledAtMs + 4));
     expect(later).to.equal(undefined);
   });
+
+  // Guards against a new process that believes a registry that returned from a copy.
+  it('believes an older process rather than the copy that it read itself', () => {
+    const entry = (state: 'in-service' | 'draining', writeCount: number): RegistryChange => ({
+      kind: 'server',
+      server: {
+        id: 's-1',
+        backendId: 'b',
+        origin: 'http://10.0.0.1:80',
+        dataCentre: 'dc',
+        slots: 2,
+        state,
+        coldForMs: 0,
+        writeCount,
+        revision: 3,
+      },
+    });
+    const read = (
+      task: RegistryTask,
+      changes: RegistryChange[],
+      epoch: number,
+      nowMs: number,
+    ): void => {
+      task.receive(
+        {type: 'registryRead', isWhole: true, epoch, revision: 4, changes, asOfMs: nowMs},
+        nowMs,
+      );
+    };
+    const old = createFollower();
+    read(
+      old,
+      [entry('draining', 5), {kind: 'dataCentreOut', dataCentre: 'dc-2', revision: 4}],
+      1,
+      1_000,
+    );
+    read(old, [entry('in-service', 1)], 2, 9_000);
+    const young = createFollower();
+    read(young, [entry('in-service', 1)], 2, 9_000);
+    const query = {
+      type: 'registryAsk' as const,
+      nonce: 1,
+      documentVersion: 0,
+      epoch: 2,
+      revision: 4,
+      knownForMs: 0,
+    };
+    const [reply] = old.receive(
+      {type: 'peerMessageReceived', fromHostId: 'a', message: query},
+      9_010,
+    );
+    const sent = young
+      .receive({type: 'timerFired', timerId: 'registry.tick'}, 9_020)
+      .find((message) => message.type === 'sendToPeer');
+    if (reply?.type !== 'sendToPeer' || sent?.type !== 'sendToPeer') {
+      throw new Error('no query or no reply');
+    }
+    const nonce = sent.message.type === 'registryAsk' ? sent.message.nonce : 0;
+    const message = {...reply.message, nonce} as PeerMessage;
+    const announced = young
+      .receive({type: 'peerMessageReceived', fromHostId: sent.toHostId, message}, 9_030)
+      .find(({type}) => type === 'registeredServersChanged');
+    expect(announced).to.deep.include({outOfService: ['dc-2']});
+    expect(announced).to.have.nested.property('servers[0].state', 'draining');
+  });
 });
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -381,6 +381,11 @@
   documentVersion: versionSchema,
   epoch: epochSchema,
   revision: versionSchema,
+  /**
+   * Time for which the sender has had registry data, in ms, while it only has what it read itself or got from younger
+   * processes; absent afterwards. An older process replies with everything that it knows.
+   */
+  knownForMs: z.number().min(0).optional(),
 });
 
 /** Reply to `registryAsk`: the registry as far as the peer has read it. */
@@ -395,6 +400,8 @@
   readByHostId: z.string().optional(),
   /** Whether the changes are the whole content of the registry at the peer. */
   isWhole: z.boolean(),
+  /** Whether they are all that a process knows that has had registry data for longer than the one that queries. */
+  isFromOlderProcess: z.boolean().optional(),
   epoch: epochSchema,
   revision: versionSchema,
   documentVersion: versionSchema,
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -79,6 +79,8 @@
  * registry fails them. The registry may serve some hosts while it turns others away, and counts every call.
  */
 const lastResortReaders = 4;
+/** Difference within which two hosts count as having had registry data for the same time, in ms. */
+const sameAgeMs = 2_000;
 /** Time for which another source is used before a preferred one may take its place again, in ms. */
 const preferredSourceRetryMs = 3_000;
 
@@ -128,6 +130,10 @@
   #readByHostId: string | undefined;
   /** Newest position that each host announced while a query to it was under way. */
   readonly #noticedPositions = new Map<string, RegistryPosition>();
+  /** When this host first had registry data, on the own clock, in ms; undefined before. */
+  #firstDataAtMs: number | undefined;
+  /** True once an older process told everything that it knows, beyond what the registry holds. */
+  #hasHeardOlderProcess = false;
   #nextQueryAtMs = 0;
   /** True if the standby is queried next, in place of the source in use. */
   #isStandbyNext = false;
@@ -218,6 +224,11 @@
     ];
   }
 
+  /** Time for which this host has had registry data, in ms; 0 before. */
+  #knownForMs(nowMs: number): number {
+    return nowMs - (this.#firstDataAtMs ?? nowMs);
+  }
+
   /** True once the host received registry data. */
   get #hasData(): boolean {
     return Number.isFinite(this.#confirmedAtMs);
@@ -266,6 +277,7 @@
       nonce: this.#queries.start(toHostId, nowMs),
       documentVersion: this.#view.document?.version ?? 0,
       ...this.#view.position,
+      knownForMs: this.#hasHeardOlderProcess ? undefined : this.#knownForMs(nowMs),
     };
     return [{type: 'sendToPeer', toHostId, message}];
   }
@@ -390,7 +402,10 @@
 
   #replyTo(fromHostId: string, query: RegistryAsk, nowMs: number): readonly CoreMessage[] {
     this.#subscribers.recordQuery(fromHostId, nowMs);
-    const {isWhole, changes} = this.#view.changesSince(query, nowMs);
+    const isYounger =
+      query.knownForMs !== undefined && query.knownForMs + sameAgeMs < this.#knownForMs(nowMs);
+    const known = {...query, needsWhole: isYounger};
+    const {isWhole, changes} = this.#view.changesSince(known, nowMs);
     const ageMs = nowMs - this.#confirmedAtMs;
     const message: RegistryAnswer = {
       type: 'registryAnswer',
@@ -399,6 +414,7 @@
       isFailing: this.#isFailing ? true : undefined,
       readByHostId: this.#readByHostId,
       isWhole,
+      isFromOlderProcess: isYounger && isWhole ? true : undefined,
       ...this.#view.position,
       documentVersion: this.#view.document?.version ?? 0,
       changes,
@@ -426,6 +442,9 @@
     if (ageMs === undefined) {
       return isInUse ? this.#onEmptyReply(nowMs) : [];
     }
+    if (reply.isFromOlderProcess === true && !isAfter(this.#view.position, reply)) {
+      this.#hasHeardOlderProcess = true;
+    }
     const isBehind = reply.documentVersion < (this.#view.document?.version ?? 0);
     const readByHostId = reply.readByHostId ?? fromHostId;
     const applied = this.#applyUpdate(reply, {
@@ -515,6 +534,7 @@
   ): readonly CoreMessage[] {
     const positionBefore = this.#view.position;
     const haveServersChanged = this.#view.apply(update, nowMs);
+    this.#firstDataAtMs ??= nowMs;
     if (asOfMs >= this.#confirmedAtMs) {
       this.#confirmedAtMs = asOfMs;
       this.#readByHostId = readByHostId;
--- a/packages/core/src/registry/registryView.ts
+++ b/packages/core/src/registry/registryView.ts
@@ -15,6 +15,8 @@
 /** What a host has already, as it states in a query. */
 export interface KnownRegistry extends RegistryPosition {
   readonly documentVersion: number;
+  /** True if the peer needs everything, whatever its position. Default: false. */
+  readonly needsWhole?: boolean;
 }
 
 /**
@@ -100,17 +102,19 @@
 
   /** Changes that a peer lacks. */
   changesSince(
-    {documentVersion, epoch, revision}: KnownRegistry,
+    {documentVersion, epoch, revision, needsWhole = false}: KnownRegistry,
     nowMs: number,
   ): {isWhole: boolean; changes: RegistryChange[]} {
     const changes: RegistryChange[] = [];
     if (this.#document !== undefined && this.#document.version > documentVersion) {
       changes.push({kind: 'document', document: this.#document});
     }
-    if (!isAfter(this.#position, {epoch, revision})) {
+    const isAhead = isAfter({epoch, revision}, this.#position);
+    if (isAhead || (!needsWhole && !isAfter(this.#position, {epoch, revision}))) {
       return {isWhole: false, changes};
     }
-    const isWhole = epoch < this.#position.epoch || revision < this.#historyFromRevision;
+    const isWhole =
+      needsWhole || epoch < this.#position.epoch || revision < this.#historyFromRevision;
     for (const server of this.servers(nowMs)) {
       if (isWhole && this.#servers.isUnconfirmed(server.id)) {
         changes.push({kind: 'server', server, isUnconfirmed: true});
