--- a/review/lib/unframedAnswers.mjs
+++ b/review/lib/unframedAnswers.mjs
@@ -67,9 +67,13 @@
   );
 }
 
-/** Requests one document from each of the given machines; returns the ids with their answers to come. */
-export function requestDocuments(record, machines, deadlineMs) {
+/**
+ * Requests one document from each of the given machines, `gapMs` after the one before; returns the ids with their
+ * answers to come.
+ */
+export function requestDocuments(record, machines, {deadlineMs, gapMs = 0}) {
   return machines.map(async (machine, number) => {
+    await wait(number * gapMs);
     const id = newId(`document ${number}`);
     record.note('client', {id, machine: machine.ip});
     const request = {method: 'POST', path: `${documentPrefix}${number}`, deadlineMs};
