A name in the configuration no longer keeps a whole version out of force

Cause: the id rule of documents that the project's own operators publish (1 to 63 lower-case letters, digits, dots, hyphens) stood in documentSchema, which hosts also apply to what they decode from the users' platform. The platform sets no rule on the names of tenants, services, routes or zones.

Change: documentSchema takes any id; checkDocument, which sees every document of the project's own interface, restricts them as before (new test, every list).

--- a/packages/core/src/request/admitRequest.ts
+++ b/packages/core/src/request/admitRequest.ts
@@ -34,7 +34,7 @@
 
 /** Key that identifies a request and its duplicates: customer, route and request digest. */
 export function requestKey(customerId: string, routeId: string, requestDigest: string): string {
-  return `${customerId}|${routeId}|${requestDigest}`;
+  return JSON.stringify([customerId, routeId, requestDigest]);
 }
 
 /** Finds the customer of a request by its key; undefined for a route that needs no key. */
--- a/packages/core/src/request/poisonRequestTask.ts
+++ b/packages/core/src/request/poisonRequestTask.ts
@@ -4,6 +4,7 @@
 import type {CoreMessage} from '../messages/coreMessage.ts';
 import type {PeerMessage} from '../messages/peerMessages.ts';
 import type {HashFunction} from '../hash/hashFunction.ts';
+import {requestKey} from './admitRequest.ts';
 
 /** Settings of the detection of poison requests. */
 export interface PoisonRequestOptions {
@@ -56,7 +57,7 @@
 }
 
 function requestKeyOf({customerId, routeId, requestDigest}: RequestIdentity): string {
-  return `${customerId}|${routeId}|${requestDigest}`;
+  return requestKey(customerId, routeId, requestDigest);
 }
 
 /**
--- a/packages/document/src/__tests__/checkDocument.test.ts
+++ b/packages/document/src/__tests__/checkDocument.test.ts
@@ -62,6 +62,22 @@
     expect(issues).to.include('the key already belongs to customer "estudio-belgrano"');
   });
 
+  it('rejects ids that are no names of files or metrics, in every list', () => {
+    const rule = 'must be 1 to 63 lower-case letters, digits, dots or hyphens; rename it';
+    for (const id of ['estudio_perez', 'Perez', '-perez', 'pérez', '', 'p'.repeat(64)]) {
+      const issues = issuesAfter(({dataCentres, customers, backends, routes}) => {
+        for (const entry of [dataCentres[0], customers[0], backends[0]?.servers[0], routes[0]]) {
+          Object.assign(entry ?? {}, {id});
+        }
+      }).split('\n');
+      for (const path of ['dataCentres.0', 'customers.0', 'backends.0.servers.0', 'routes.0']) {
+        expect(issues).to.include(`${path}.id: ${rule} (found ${JSON.stringify(id)})`);
+      }
+      const backendIssues = issuesAfter(({backends}) => Object.assign(backends[0] ?? {}, {id}));
+      expect(backendIssues).to.include(`backends.0.id: ${rule} (found ${JSON.stringify(id)})`);
+    }
+  });
+
   it('rejects unknown fields and reports every issue', () => {
     const issues = issuesAfter((document) => {
       Object.assign(document, {extra: 1, version: 0});
--- a/packages/document/src/checkDocument.ts
+++ b/packages/document/src/checkDocument.ts
@@ -5,6 +5,9 @@
 import type {ValidationIssue} from './validationIssue.ts';
 import {issuesFromZod, renderValue} from './issuesFromZod.ts';
 
+/** Id: 1 to 63 lower-case letters, digits, dots and hyphens, the first a letter or digit. */
+const idPattern = /^[a-z0-9][a-z0-9.-]{0,62}$/;
+
 /** Values that occur more than once. */
 function duplicatesIn(values: Iterable<string>): Set<string> {
   const seen = new Set<string>();
@@ -31,6 +34,21 @@
   return issues;
 }
 
+/** Issues for ids that are not safe to use in file names, metrics and addresses of the console. */
+function malformedIdIssues(path: string, ids: readonly string[]): ValidationIssue[] {
+  const issues: ValidationIssue[] = [];
+  for (const [index, id] of ids.entries()) {
+    if (!idPattern.test(id)) {
+      issues.push({
+        path: `${path}.${index}.id`,
+        value: renderValue(id),
+        message: 'must be 1 to 63 lower-case letters, digits, dots or hyphens; rename it',
+      });
+    }
+  }
+  return issues;
+}
+
 /** Issues for API keys that belong to more than one customer. */
 function duplicateKeyIssues(document: FleetDocument): ValidationIssue[] {
   const issues: ValidationIssue[] = [];
@@ -122,30 +140,31 @@
   return issues;
 }
 
-/** Every inconsistency between the parts of a document whose shape is valid. */
+/** Issues for the ids of one list of the document: malformed ones and duplicates. */
+function idIssues(path: string, entries: readonly {readonly id: string}[]): ValidationIssue[] {
+  const ids = entries.map(({id}) => id);
+  return [...malformedIdIssues(path, ids), ...duplicateIdIssues(path, ids)];
+}
+
+/** Issues for the ids of the backend servers, which are unique over all backends. */
+function serverIdIssues({backends}: FleetDocument): ValidationIssue[] {
+  const issues: ValidationIssue[] = [];
+  for (const [index, {servers}] of backends.entries()) {
+    const ids = servers.map(({id}) => id);
+    issues.push(...malformedIdIssues(`backends.${index}.servers`, ids));
+  }
+  const ids = backends.flatMap(({servers}) => servers.map(({id}) => id));
+  return [...issues, ...duplicateIdIssues('backends.servers', ids)];
+}
+
+/** Every malformed id and every inconsistency between the parts of a document whose shape is valid. */
 function consistencyIssues(document: FleetDocument): ValidationIssue[] {
-  const servers = document.backends.flatMap((backend) => backend.servers);
   return [
-    ...duplicateIdIssues(
-      'dataCentres',
-      document.dataCentres.map(({id}) => id),
-    ),
-    ...duplicateIdIssues(
-      'customers',
-      document.customers.map(({id}) => id),
-    ),
-    ...duplicateIdIssues(
-      'backends',
-      document.backends.map(({id}) => id),
-    ),
-    ...duplicateIdIssues(
-      'backends.servers',
-      servers.map(({id}) => id),
-    ),
-    ...duplicateIdIssues(
-      'routes',
-      document.routes.map(({id}) => id),
-    ),
+    ...idIssues('dataCentres', document.dataCentres),
+    ...idIssues('customers', document.customers),
+    ...idIssues('backends', document.backends),
+    ...serverIdIssues(document),
+    ...idIssues('routes', document.routes),
     ...duplicateKeyIssues(document),
     ...backendIssues(document),
     ...routeIssues(document),
--- a/packages/document/src/documentSchema.ts
+++ b/packages/document/src/documentSchema.ts
@@ -1,12 +1,7 @@
 import {z} from 'zod';
 
-/** Id: 1 to 63 lower-case letters, digits, dots and hyphens, the first a letter or digit. */
-const idSchema = z
-  .string()
-  .regex(
-    /^[a-z0-9][a-z0-9.-]{0,62}$/,
-    'must be 1 to 63 lower-case letters, digits, dots or hyphens; rename it',
-  );
+/** Id of an entry. Hosts accept any; `checkDocument` restricts the ids of documents that operators publish. */
+const idSchema = z.string();
 
 /** SHA-256 digest in hex. */
 const sha256Schema = z
--- a/packages/proxy/src/callers/headers.ts
+++ b/packages/proxy/src/callers/headers.ts
@@ -31,6 +31,11 @@
   'upgrade',
 ]);
 
+/** Value of a header for a text of any characters: its bytes in UTF-8, as `node:http` and `undici` send them. */
+export function utf8HeaderValue(text: string): string {
+  return Buffer.from(text, 'utf8').toString('latin1');
+}
+
 /** Names that the Connection header lists, which are hop-by-hop too. */
 function connectionOptions(headers: IncomingHttpHeaders): Set<string> {
   const names = new Set<string>();
--- a/packages/proxy/src/callers/requestHead.ts
+++ b/packages/proxy/src/callers/requestHead.ts
@@ -18,9 +18,9 @@
   return typeof value === 'string' && value !== '' ? value : undefined;
 }
 
-/** SHA-256 of a caller's key, in hex; undefined where there is no key. */
+/** SHA-256 of the bytes of a caller's key, in hex; undefined where there is no key. `node:http` reads headers as Latin-1. */
 export function digestOfKey(key: string | undefined): string | undefined {
-  return key === undefined ? undefined : createHash('sha256').update(key).digest('hex');
+  return key === undefined ? undefined : createHash('sha256').update(key, 'latin1').digest('hex');
 }
 
 /** Time budget that the caller sets in the header `deadlineHeader`, in ms; undefined where absent or invalid. */
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -4,7 +4,12 @@
 export {createLog} from './host/createLog.ts';
 export {loadXxHash} from './host/xxHash.ts';
 export {splitAddress} from './host/splitAddress.ts';
-export {customerHeader, deadlineHeader, requestIdHeader} from './callers/headers.ts';
+export {
+  customerHeader,
+  deadlineHeader,
+  requestIdHeader,
+  utf8HeaderValue,
+} from './callers/headers.ts';
 export {listenOn} from './task/listenOn.ts';
 export {Mailbox} from './task/mailbox.ts';
 export type {TimerService, TimerHandle} from './timer/timerService.ts';
