Figures of the configuration are bound only where the platform bounds them

A peer without a document states version 0, so the document is always sent to it. checkDocument still refuses version 0.

--- a/packages/core/src/__tests__/registryView.test.ts
+++ b/packages/core/src/__tests__/registryView.test.ts
@@ -1,3 +1,4 @@
+import {documentSchema} from '@godwitspring/document';
 import type {DiscoveredServer, RegistryChange} from '@godwitspring/document';
 import {expect} from 'chai';
 import {RegistryView} from '../registry/registryView.ts';
@@ -48,6 +49,26 @@
     expect(view.lapsedServers(150)).to.have.length(0);
   });
 
+  // Guards against a first version 0 that never comes into force.
+  it('takes the version 0 as a document, also from a peer', () => {
+    const document = documentSchema.parse({
+      formatVersion: 1,
+      version: 0,
+      author: 'a',
+      reason: 'r',
+      madeAt: '2026-01-01T00:00:00Z',
+      dataCentres: [{id: 'dc'}],
+      customers: [],
+      backends: [],
+      routes: [],
+    });
+    const view = new RegistryView();
+    view.apply({isWhole: true, epoch: 0, revision: 1, changes: [{kind: 'document', document}]}, 0);
+    expect(view.document?.version).to.equal(0);
+    const {changes} = view.changesSince({documentVersion: 0, epoch: 0, revision: 0}, 0);
+    expect(changes.map(({kind}) => kind)).to.deep.equal(['document']);
+  });
+
   it('ignores a read of an older revision', () => {
     const view = new RegistryView();
     view.apply({isWhole: true, epoch: 0, revision: 5, changes: [server('s', 5, 'draining')]}, 0);
--- a/packages/core/src/registry/registryAnnouncer.ts
+++ b/packages/core/src/registry/registryAnnouncer.ts
@@ -14,7 +14,7 @@
 export class RegistryAnnouncer {
   readonly #options: RegistryAnnouncerOptions;
   readonly #view: RegistryView;
-  #announcedVersion = 0;
+  #announcedVersion: number | undefined;
   #announcedLapsedIds = '';
   #wasFresh = false;
 
@@ -26,12 +26,13 @@
   /** Announces the document if its version is not in force yet. */
   announceDocument(from: string, ageMs: number): readonly CoreMessage[] {
     const {document} = this.#view;
-    if (document === undefined || document.version <= this.#announcedVersion) {
+    const announcedVersion = this.#announcedVersion ?? -1;
+    if (document === undefined || document.version <= announcedVersion) {
       return [];
     }
     const fields = {
       version: document.version,
-      before: this.#announcedVersion,
+      before: this.#announcedVersion ?? 0,
       from,
       ageMs: Math.round(ageMs),
       routes: document.routes.length,
--- a/packages/core/src/registry/registryView.ts
+++ b/packages/core/src/registry/registryView.ts
@@ -106,7 +106,9 @@
     nowMs: number,
   ): {isWhole: boolean; changes: RegistryChange[]} {
     const changes: RegistryChange[] = [];
-    if (this.#document !== undefined && this.#document.version > documentVersion) {
+    // A peer without a document states version 0, which a document may have too.
+    const lacksDocument = documentVersion === 0 || (this.#document?.version ?? 0) > documentVersion;
+    if (this.#document !== undefined && lacksDocument) {
       changes.push({kind: 'document', document: this.#document});
     }
     const isAhead = isAfter({epoch, revision}, this.#position);
@@ -142,7 +144,7 @@
   }
 
   #applyDocument(document: FleetDocument): void {
-    if (document.version > (this.#document?.version ?? 0)) {
+    if (this.#document === undefined || document.version > this.#document.version) {
       this.#document = document;
     }
   }
--- a/packages/document/src/checkDocument.ts
+++ b/packages/document/src/checkDocument.ts
@@ -1,6 +1,6 @@
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
-import {documentSchema} from './documentSchema.ts';
+import {publishedDocumentSchema} from './documentSchema.ts';
 import type {Backend, FleetDocument} from './documentSchema.ts';
 import type {ValidationIssue} from './validationIssue.ts';
 import {issuesFromZod, renderValue} from './issuesFromZod.ts';
@@ -176,7 +176,7 @@
  * returns every issue found in the stage that failed.
  */
 export function checkDocument(input: unknown): Result<FleetDocument, ValidationIssue[]> {
-  const parsed = documentSchema.safeParse(input);
+  const parsed = publishedDocumentSchema.safeParse(input);
   if (!parsed.success) {
     return err(issuesFromZod(parsed.error, input));
   }
--- a/packages/document/src/documentSchema.ts
+++ b/packages/document/src/documentSchema.ts
@@ -132,7 +132,7 @@
 export const documentSchema = z.strictObject({
   formatVersion: z.literal(1),
   /** Increases with every change; a host never returns to a lower version. */
-  version: z.number().int().min(1),
+  version: z.number().int().min(0),
   /** SHA-256 of the manifest of the version that this one is based on. Default: none, for a first version. */
   previousDigest: sha256Schema.optional(),
   author: z.string().min(1, 'must name the author of the change'),
@@ -147,6 +147,9 @@
   routes: z.array(routeSchema),
 });
 
+/** Schema of a document of the product's own interface, whose versions start at 1. */
+export const publishedDocumentSchema = documentSchema.extend({version: z.number().int().min(1)});
+
 /** The configuration document that operators publish for the whole fleet. */
 export type FleetDocument = z.infer<typeof documentSchema>;
 export type DataCentre = FleetDocument['dataCentres'][number];
--- a/packages/document/src/registrySchemas.ts
+++ b/packages/document/src/registrySchemas.ts
@@ -2,7 +2,7 @@
 import {documentSchema} from './documentSchema.ts';
 
 /** Longest id of a server, backend or data centre in an entry, in characters. */
-const maxNameLength = 200;
+const maxNameLength = 65_536;
 /** Most requests that one server processes at the same time; an entry that names more is a mistake. */
 const maxSlots = 100_000;
 /** Longest time for which a server stays cold, in ms: a day. */
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -12,6 +12,7 @@
   RefuseRequest,
   StartAttempt,
 } from '@godwitspring/core';
+import type {CallerLimits} from '@godwitspring/document';
 import {Hono} from 'hono';
 import type {BackendCommand} from '../backends/backendMessages.ts';
 import {Mailbox} from '../task/mailbox.ts';
@@ -89,18 +90,23 @@
     this.#options = {...DEFAULT_CALLER_TASK_OPTIONS, ...options};
   }
 
-  /** Changes the timeouts of idle connections and of request heads. */
-  setTimeouts({
+  /**
+   * Changes the limits on callers. Heads may always be as large as the options allow, so that callers of an earlier
+   * version are not refused; a larger limit holds for new connections.
+   */
+  setLimits({
+    maxHeadBytes,
     idleTimeoutMs,
     headTimeoutMs,
-  }: {
-    idleTimeoutMs: number;
-    headTimeoutMs: number;
-  }): void {
-    if (this.#server !== undefined) {
-      this.#server.keepAliveTimeout = idleTimeoutMs;
-      this.#server.headersTimeout = headTimeoutMs;
+  }: Omit<CallerLimits, 'maxBodyBytes'>): void {
+    if (this.#server === undefined) {
+      return;
     }
+    this.#server.keepAliveTimeout = idleTimeoutMs;
+    this.#server.headersTimeout = headTimeoutMs;
+    // `node:http` reads the property for each new connection, but its types leave it out.
+    const server: Server & {maxHeaderSize?: number} = this.#server;
+    server.maxHeaderSize = Math.max(this.#options.maxHeadBytes, maxHeadBytes);
   }
 
   /** From now on, responses to further requests close their connection. */
--- a/packages/proxy/src/host/gossipHost.ts
+++ b/packages/proxy/src/host/gossipHost.ts
@@ -323,7 +323,7 @@
   }
 
   #limitCallers(limits: CallerLimits): void {
-    this.#callers.setTimeouts(limits);
+    this.#callers.setLimits(limits);
   }
 
   #onPeerReport(report: PeerReport): void {
