Hosts do not count as fresh while the newest configuration cannot be read

Cause: StoreRegistrySource dropped an unreadable op/config with a log line, and each later watch confirmed the old version.

Change: a read of the registry says whether the newest document is unreadable, hosts tell it each other with their data, and while it holds the age of the data grows, so that hosts refuse as they do when cut off (503, not run). The next readable document ends it. The view holds the state with its position, so that a follower that becomes a reader keeps it.

--- a/packages/core/src/messages/hostMessages.ts
+++ b/packages/core/src/messages/hostMessages.ts
@@ -186,6 +186,8 @@
   /** Revision of the registry with these changes applied. */
   revision: z.number().int(),
   changes: z.array(registryChangeSchema),
+  /** Whether the newest document in the registry cannot be read; absent if these changes do not tell. */
+  isDocumentUnreadable: z.boolean().optional(),
   /** Moment on the host's clock at which the registry is certain to have held nothing newer, in ms. */
   asOfMs: z.number(),
 });
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -405,6 +405,8 @@
   epoch: epochSchema,
   revision: versionSchema,
   documentVersion: versionSchema,
+  /** Whether the newest document in the registry cannot be read. */
+  isDocumentUnreadable: z.boolean().optional(),
   changes: z.array(registryChangeSchema),
 });
 
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -179,6 +179,7 @@
         const value = {
           version: this.#view.document?.version ?? 0,
           ...this.#view.position,
+          isDocumentUnreadable: this.#view.isDocumentUnreadable,
           ageMs: Math.round(nowMs - this.#confirmedAtMs),
           source: this.#sources.current,
           role: this.#sources.role,
@@ -417,6 +418,7 @@
       isFromOlderProcess: isYounger && isWhole ? true : undefined,
       ...this.#view.position,
       documentVersion: this.#view.document?.version ?? 0,
+      isDocumentUnreadable: this.#view.isDocumentUnreadable ? true : undefined,
       changes,
     };
     const reply: CoreMessage = {type: 'sendToPeer', toHostId: fromHostId, message};
@@ -447,7 +449,9 @@
     }
     const isBehind = reply.documentVersion < (this.#view.document?.version ?? 0);
     const readByHostId = reply.readByHostId ?? fromHostId;
-    const applied = this.#applyUpdate(reply, {
+    const {isDocumentUnreadable = false} = reply;
+    const update = {...reply, isDocumentUnreadable};
+    const applied = this.#applyUpdate(update, {
       // A host with an older document cannot tell that nothing newer was published.
       asOfMs: isBehind ? Number.NEGATIVE_INFINITY : queriedAtMs - ageMs,
       from: fromHostId,
@@ -535,7 +539,8 @@
     const positionBefore = this.#view.position;
     const haveServersChanged = this.#view.apply(update, nowMs);
     this.#firstDataAtMs ??= nowMs;
-    if (asOfMs >= this.#confirmedAtMs) {
+    // A document that cannot be read may withdraw keys: what is known does not become fresher.
+    if (asOfMs >= this.#confirmedAtMs && !this.#view.isDocumentUnreadable) {
       this.#confirmedAtMs = asOfMs;
       this.#readByHostId = readByHostId;
     }
--- a/packages/core/src/registry/registryView.ts
+++ b/packages/core/src/registry/registryView.ts
@@ -10,6 +10,8 @@
   /** True if the changes list everything that the registry holds; whatever they leave out is gone. */
   readonly isWhole: boolean;
   readonly changes: readonly RegistryChange[];
+  /** Whether the newest document cannot be read; undefined if the changes do not tell. */
+  readonly isDocumentUnreadable?: boolean | undefined;
 }
 
 /** What a host has already, as it states in a query. */
@@ -29,6 +31,7 @@
  */
 export class RegistryView {
   #document: FleetDocument | undefined;
+  #isDocumentUnreadable = false;
   readonly #servers = new RegisteredServers();
   readonly #outages = new DataCentreOutages();
   #position: RegistryPosition = {epoch: 0, revision: 0};
@@ -40,6 +43,11 @@
     return this.#document;
   }
 
+  /** True if the registry holds a newer document that cannot be read, so that it is unknown which keys are in force. */
+  get isDocumentUnreadable(): boolean {
+    return this.#isDocumentUnreadable;
+  }
+
   /** Position in the history of the registry that the view reflects. */
   get position(): RegistryPosition {
     return this.#position;
@@ -84,6 +92,7 @@
       hasChanged = this.#applyChange(change, nowMs) || hasChanged;
     }
     this.#position = {epoch, revision};
+    this.#isDocumentUnreadable = update.isDocumentUnreadable ?? this.#isDocumentUnreadable;
     if (isWhole) {
       this.#historyFromRevision = isNewEpoch
         ? revision
--- a/packages/proxy/src/registry/registrySource.ts
+++ b/packages/proxy/src/registry/registrySource.ts
@@ -4,6 +4,11 @@
 /** Result of a read or a watch of the registry, with the newest position that it covers. */
 export interface RegistryReading extends RegistryPosition {
   readonly changes: readonly RegistryChange[];
+  /**
+   * Whether the newest document cannot be read, so that it is not among the changes; undefined if no document was
+   * published.
+   */
+  readonly isDocumentUnreadable?: boolean | undefined;
 }
 
 /** Client of the registry in which operators and backend servers publish their entries; read-only. */
--- a/packages/proxy/src/registry/registryWatchTask.ts
+++ b/packages/proxy/src/registry/registryWatchTask.ts
@@ -115,7 +115,7 @@
   }
 
   #reportReading(
-    {epoch, revision, changes}: RegistryReading,
+    {epoch, revision, changes, isDocumentUnreadable}: RegistryReading,
     isWhole: boolean,
     asOfMs: number,
   ): void {
@@ -126,6 +126,7 @@
       epoch,
       revision,
       changes: [...changes],
+      isDocumentUnreadable,
       asOfMs,
     });
   }
