Hosts give each other a configuration of any size that the store holds

Cause: a message between hosts may have 2 MiB. The document of a configuration is larger than its text, as it names each key by a digest of 64 digits. The message was refused, the connection closed, and each host had to find out by timeout and read the store.

Change: hosts on the registry accept messages of 32 MiB, above the largest document that a value of 1 MiB can make.

--- a/packages/proxy/src/host/gossipHost.ts
+++ b/packages/proxy/src/host/gossipHost.ts
@@ -90,6 +90,11 @@
 const initialCallerLimits = {maxHeadBytes: 65_536, headTimeoutMs: 10_000, idleTimeoutMs: 15_000};
 /** Wait before a broken connection to a peer is opened again, in ms: a process is up within a second of its start. */
 const reconnectMs = 100;
+/**
+ * Largest message between hosts, in bytes. Such a message holds a whole document, which is larger than the published
+ * text, as it names each key by a digest.
+ */
+const maxPeerMessageBytes = 33_554_432;
 /** Longest pause of a caller within a request body, in ms. */
 const bodyIdleTimeoutMs = 5_000;
 
@@ -178,6 +183,7 @@
       selfId,
       ...listenAddress(addresses.peers),
       reconnectMs,
+      maxMessageBytes: maxPeerMessageBytes,
       areHostIdsAddresses: true,
       report: (report) => {
         this.#onPeerReport(report);
