A prefix that ends with a slash matches only the paths that begin with it

With an open prefix /status/, /status ran without a key.

Cause: DocumentIndex cut the last slash off prefixes and paths and compared whole segments. That is right for the prefixes of the project's own documents, which need not end with a slash, but on the users' platform every prefix ends with one and the longest that begins the path decides.

Change: prefixes are kept as they are written. One that ends with a slash matches the paths that begin with it, any other its own path and those below. No prefix beyond the longest of the host is tried: the loop took quadratic time for paths of many slashes.

--- a/packages/core/src/routing/documentIndex.ts
+++ b/packages/core/src/routing/documentIndex.ts
@@ -3,18 +3,33 @@
 /** Host of routes that match requests to any host. */
 const wildcardHost = '*';
 
-function withoutTrailingSlash(path: string): string {
-  return path.length > 1 && path.endsWith('/') ? path.slice(0, -1) : path;
+/**
+ * Yields the prefixes of a path at the boundaries of its segments, longest first, but none that is longer than
+ * `maxLength`: for `/a/b` these are `/a/b`, `/a/`, `/a` and `/`. A prefix that ends with a slash thus matches the paths
+ * below it, but not the path that lacks its last slash.
+ */
+function* prefixesOf(path: string, maxLength: number): Generator<string> {
+  if (path.length <= maxLength) {
+    yield path;
+  }
+  for (let index = Math.min(path.length - 1, maxLength); index >= 0; index -= 1) {
+    if (path[index] !== '/') {
+      continue;
+    }
+    if (index < path.length - 1) {
+      yield path.slice(0, index + 1);
+    }
+    if (index > 0) {
+      yield path.slice(0, index);
+    }
+  }
 }
 
-/** Yields the prefixes of a path at segment boundaries, longest first: `/a/b`, `/a`, `/`. */
-function* prefixesOf(path: string): Generator<string> {
-  let prefix = withoutTrailingSlash(path);
-  while (prefix.length > 1) {
-    yield prefix;
-    prefix = prefix.slice(0, prefix.lastIndexOf('/'));
-  }
-  yield '/';
+/** The routes of one host name. */
+interface HostRoutes {
+  readonly byPrefix: Map<string, Route[]>;
+  /** Length of the longest prefix, in characters. */
+  maxPrefixLength: number;
 }
 
 /** Result of a route lookup; a `kind` other than `found` is the error kind of the refusal. */
@@ -26,7 +41,7 @@
 /** Lookup tables for one version of the fleet's configuration document. */
 export class DocumentIndex {
   readonly document: FleetDocument;
-  readonly #routes = new Map<string, Map<string, Route[]>>();
+  readonly #routes = new Map<string, HostRoutes>();
   readonly #customersByDigest = new Map<string, Customer>();
   readonly #customers = new Map<string, Customer>();
   readonly #backends = new Map<string, Backend>();
@@ -54,18 +69,20 @@
   }
 
   /**
-   * Finds the route with the longest matching path prefix.
+   * Finds the route with the longest matching path prefix. A prefix that ends with a slash matches the paths that begin
+   * with it; any other matches its own path and those below it.
    *
    * Routes of the exact host are searched before those of the host `*`.
    */
   findRoute(host: string, path: string, method: string): RouteMatch {
     for (const key of [host, wildcardHost]) {
-      const routesByPrefix = this.#routes.get(key);
-      if (routesByPrefix === undefined) {
+      const hostRoutes = this.#routes.get(key);
+      if (hostRoutes === undefined) {
         continue;
       }
-      for (const prefix of prefixesOf(path)) {
-        const routes = routesByPrefix.get(prefix);
+      const {byPrefix, maxPrefixLength} = hostRoutes;
+      for (const prefix of prefixesOf(path, maxPrefixLength)) {
+        const routes = byPrefix.get(prefix);
         if (routes === undefined) {
           continue;
         }
@@ -98,11 +115,12 @@
 
   #addRoute(route: Route): void {
     const host = route.host.toLowerCase();
-    const prefix = withoutTrailingSlash(route.pathPrefix);
-    const routesByPrefix = this.#routes.get(host) ?? new Map<string, Route[]>();
-    const routes = routesByPrefix.get(prefix) ?? [];
+    const hostRoutes = this.#routes.get(host) ?? {byPrefix: new Map(), maxPrefixLength: 0};
+    const {pathPrefix} = route;
+    const routes = hostRoutes.byPrefix.get(pathPrefix) ?? [];
     routes.push(route);
-    routesByPrefix.set(prefix, routes);
-    this.#routes.set(host, routesByPrefix);
+    hostRoutes.byPrefix.set(pathPrefix, routes);
+    hostRoutes.maxPrefixLength = Math.max(hostRoutes.maxPrefixLength, pathPrefix.length);
+    this.#routes.set(host, hostRoutes);
   }
 }
