No success has a copy of another response inside

What callers saw (record of the users, MIXED on two deployments): successes that ended with their connection and whose body was not the server's.

Cause: a server that repeats its responses writes a late copy on a kept connection. Where the connection is in use again and the response that runs there has its head sent already, the copy lands in its body. Without a length all bytes up to the close are the body; with one the copy's bytes take the place of its end. The check of the echoed request id sees heads only.

Change: each body is searched for the head of a response that names an attempt of the same connection (RepeatedResponseDetector). Such a response is malformed: it is repeated where that does no harm, else answered 502, and broken off visibly where it is streamed already. The server's connections are then not reused for a while, as after other stray bytes. The relay does the same.

--- a/packages/proxy/src/attempt-relay/attemptRelayTask.ts
+++ b/packages/proxy/src/attempt-relay/attemptRelayTask.ts
@@ -4,8 +4,10 @@
 import type {HostEffect, HostEvent} from '@godwitspring/core';
 import type {Dispatcher} from 'undici';
 import {bufferResponse} from '../backends/bufferResponse.ts';
-import {ServerConnectionPool} from '../backends/serverConnectionPool.ts';
+import {RepeatedResponseDetector} from '../backends/repeatedResponseDetector.ts';
+import {ServerConnectionPool, recordAttempt} from '../backends/serverConnectionPool.ts';
 import {endToEndHeaders} from '../callers/headers.ts';
+import {RepeatedResponseError} from '../errors/hostErrors.ts';
 import type {HttpDialect} from '../dialect/httpDialect.ts';
 import {drainServer} from '../task/drainServer.ts';
 import {listenOn} from '../task/listenOn.ts';
@@ -131,6 +133,8 @@
     const {bufferedResponseBytes, dialect, postToCore, count} = this.#options;
     const pool = this.#poolOf(origin);
     const connection = pool.acquire();
+    const {requestNameHeader} = dialect;
+    recordAttempt(connection, String(incoming.headers[requestNameHeader]));
     const controller = new AbortController();
     outgoing.once('close', () => {
       if (!outgoing.writableFinished) {
@@ -152,11 +156,15 @@
       const body = await bufferResponse(response.body, {
         maxBytes: bufferedResponseBytes,
         wasReset: () => connection.wasReset,
+        repeats: new RepeatedResponseDetector({
+          requestNameHeader,
+          attemptNames: connection.attemptNames,
+        }),
       });
       outgoing.shouldKeepAlive &&= !this.#isDraining;
       outgoing.writeHead(response.statusCode, endToEndHeaders(response.headers));
       await pipeline(body, outgoing);
-      if (isAnonymousFailure(response, dialect.requestNameHeader)) {
+      if (isAnonymousFailure(response, requestNameHeader)) {
         pool.discard(connection);
       } else {
         pool.release(connection);
@@ -164,6 +172,9 @@
       count('relay.forwarded');
     } catch (error) {
       pool.discard(connection);
+      if (error instanceof RepeatedResponseError) {
+        pool.reportStrayBytes();
+      }
       if (!connection.hasConnected && !outgoing.headersSent) {
         this.#refuse(incoming, outgoing, 'unreachable');
         return;
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -4,13 +4,19 @@
 import type {PendingResponse} from '../callers/exchange.ts';
 import {endToEndHeaders} from '../callers/headers.ts';
 import type {HttpDialect, ResponseClassification} from '../dialect/httpDialect.ts';
-import {BodyLimitError, InterimResponsesError, SlowCallerError} from '../errors/hostErrors.ts';
+import {
+  BodyLimitError,
+  InterimResponsesError,
+  RepeatedResponseError,
+  SlowCallerError,
+} from '../errors/hostErrors.ts';
 import {Mailbox} from '../task/mailbox.ts';
 import type {TimerService} from '../timer/timerService.ts';
 import type {BackendCommand, RunAttempt} from './backendMessages.ts';
 import {relayNotSentHeader, relayServerHeader} from '../attempt-relay/relayHeaders.ts';
 import {bufferResponse} from './bufferResponse.ts';
-import {ServerConnectionPool, dialTcp} from './serverConnectionPool.ts';
+import {RepeatedResponseDetector} from './repeatedResponseDetector.ts';
+import {ServerConnectionPool, dialTcp, recordAttempt} from './serverConnectionPool.ts';
 import type {Dial, ServerConnection} from './serverConnectionPool.ts';
 
 /** Settings and collaborators of the backend task. */
@@ -84,6 +90,9 @@
   if (error instanceof SlowCallerError) {
     return {failure: 'caller', mayHaveRun: true};
   }
+  if (error instanceof RepeatedResponseError) {
+    return {failure: 'malformed', mayHaveRun: true};
+  }
   if (!hasConnected) {
     return {failure: relayHostId === undefined ? 'connect' : 'relay', mayHaveRun: false};
   }
@@ -184,6 +193,7 @@
     }
     const pool = this.#poolOf(origin);
     const connection = pool.acquire({isNew: run.needsNewConnection && !isRelayed});
+    recordAttempt(connection, run.attemptName);
     this.#options.count(connection.hasConnected ? 'server.reused' : 'server.connected');
     this.#reportIdleConnections();
     let interimResponses = 0;
@@ -224,6 +234,10 @@
     } catch (error) {
       this.#running.delete(attemptKey);
       pool.discard(connection);
+      if (error instanceof RepeatedResponseError) {
+        this.#options.count('server.malformed', {reason: 'repeated'});
+        pool.reportStrayBytes();
+      }
       if (!controller.signal.aborted) {
         const failed = classifyFailure(error, connection, run);
         this.#options.postToCore({type: 'attemptFailed', requestId, attempt, ...failed});
@@ -300,6 +314,10 @@
     const bufferedBody = await bufferResponse(body, {
       maxBytes: bufferedResponseBytes,
       wasReset: () => connection.wasReset,
+      repeats: new RepeatedResponseDetector({
+        requestNameHeader: dialect.requestNameHeader,
+        attemptNames: connection.attemptNames,
+      }),
     });
     const isCloseDelimited =
       response.headers['content-length'] === undefined &&
--- a/packages/proxy/src/backends/bufferResponse.ts
+++ b/packages/proxy/src/backends/bufferResponse.ts
@@ -1,5 +1,6 @@
 import {PassThrough, pipeline, Readable} from 'node:stream';
-import {BrokenAnswerError} from '../errors/hostErrors.ts';
+import {BrokenAnswerError, RepeatedResponseError} from '../errors/hostErrors.ts';
+import type {RepeatedResponseDetector} from './repeatedResponseDetector.ts';
 
 /** Limits of buffering a response. */
 export interface BufferResponseOptions {
@@ -7,11 +8,22 @@
   readonly maxBytes: number;
   /** Returns, at the end of the body, whether the server reset the connection rather than closed it. */
   readonly wasReset: () => boolean;
+  /** Finds copies of other responses within the body. */
+  readonly repeats: RepeatedResponseDetector;
 }
 
-/** Yields the chunks of a body; fails at its end where the connection was reset rather than closed. */
-async function* chunksUnlessReset(body: Readable, wasReset: () => boolean): AsyncGenerator<Buffer> {
+/**
+ * Yields the chunks of a body; fails where a copy of another response arrives within it, and at its end where the
+ * connection was reset rather than closed.
+ */
+async function* soundChunks(
+  body: Readable,
+  {wasReset, repeats}: BufferResponseOptions,
+): AsyncGenerator<Buffer> {
   for await (const chunk of body) {
+    if (repeats.hasFoundIn(chunk as Buffer)) {
+      throw new RepeatedResponseError('the body holds the head of another response');
+    }
     yield chunk as Buffer;
   }
   if (wasReset()) {
@@ -25,12 +37,12 @@
  */
 export async function bufferResponse(
   body: Readable,
-  {maxBytes, wasReset}: BufferResponseOptions,
+  options: BufferResponseOptions,
 ): Promise<Readable> {
   const chunks: Buffer[] = [];
   let bytes = 0;
-  const checkedChunks = chunksUnlessReset(body, wasReset);
-  while (bytes <= maxBytes) {
+  const checkedChunks = soundChunks(body, options);
+  while (bytes <= options.maxBytes) {
     const next = await checkedChunks.next();
     if (next.done === true) {
       return Readable.from(chunks.length === 0 ? [] : [Buffer.concat(chunks)]);
--- a/packages/proxy/src/backends/serverConnectionPool.ts
+++ b/packages/proxy/src/backends/serverConnectionPool.ts
@@ -72,6 +72,17 @@
   wasReset: boolean;
   /** True while a request runs on it. */
   isBusy: boolean;
+  /** Names of the newest attempts that ran on it, oldest first. */
+  readonly attemptNames: string[];
+}
+
+/** Attempts of a connection whose names are kept: more than a server answers before it sends a late copy. */
+const keptAttemptNames = 16;
+
+/** Notes on a connection that an attempt runs on it. */
+export function recordAttempt({attemptNames}: ServerConnection, name: string): void {
+  attemptNames.push(name);
+  attemptNames.splice(0, attemptNames.length - keptAttemptNames);
 }
 
 /**
@@ -180,6 +191,7 @@
       hasConnected: false,
       wasReset: false,
       isBusy: false,
+      attemptNames: [],
     };
     client.on('connect', () => {
       connection.hasConnected = true;
@@ -187,7 +199,7 @@
     client.on('disconnect', (_origin, _targets, error: NodeJS.ErrnoException) => {
       this.#remove(connection);
       if (!connection.isBusy && connection.hasConnected && isParseError(error)) {
-        this.#onStrayBytes();
+        this.reportStrayBytes();
       }
       if (!connection.isBusy) {
         void client.destroy();
@@ -197,8 +209,11 @@
     return connection;
   }
 
-  /** Closes the idle connections and reuses none for a while: the server may have sent bytes on each of them. */
-  #onStrayBytes(): void {
+  /**
+   * Notes that the server sent bytes that no request asked for. Closes the idle connections and reuses none for a while,
+   * as it may have sent such bytes on each of them.
+   */
+  reportStrayBytes(): void {
     const {timers, strayBytesAvoidanceMs, onStrayBytes} = this.#options;
     this.#noReuseUntilMs = timers.nowMs() + strayBytesAvoidanceMs;
     for (const connection of [...this.#idle]) {
--- a/packages/proxy/src/errors/hostErrors.ts
+++ b/packages/proxy/src/errors/hostErrors.ts
@@ -20,3 +20,6 @@
 
 /** A connection to a backend server was not established in time. */
 export const ConnectTimeoutError = HostError.subclass('ConnectTimeoutError');
+
+/** A copy of an earlier response arrived within the body of another, so that the body is not what the server meant. */
+export const RepeatedResponseError = HostError.subclass('RepeatedResponseError');
