Answers without a length go to callers in chunks, so that any early end of them shows

Cause: an answer without a length was passed on as one, with chunks turned off, so that the close of the connection was its end. A kernel closes the connections of a killed process in order; at the timeout the body was destroyed without an error, so the handler that resets the connection never ran.

Change: the answer goes on in chunks, and its connection is kept. The relay always sent chunks to the other host.

--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -319,15 +319,11 @@
         attemptNames: connection.attemptNames,
       }),
     });
-    const isCloseDelimited =
-      response.headers['content-length'] === undefined &&
-      response.headers['transfer-encoding'] === undefined;
     this.#options.answer(requestId, {
       attempt,
       status,
       headers,
       body: bufferedBody,
-      isCloseDelimited,
     });
     const {reportsNotRun, isMisdirected} = classification;
     this.#options.postToCore({
--- a/packages/proxy/src/callers/exchange.ts
+++ b/packages/proxy/src/callers/exchange.ts
@@ -8,8 +8,6 @@
   readonly status: number;
   readonly headers: HeaderMap;
   readonly body: Readable;
-  /** True where only the close of the connection marks the end of the response (RFC 9112, section 6.3). */
-  readonly isCloseDelimited: boolean;
 }
 
 /** A caller's request in progress, with its streams to the caller and the responses to its attempts. */
