Late in a planned stop a host takes only requests that it can surely finish

Cause: a request was admitted if twice the target latency of its route was left, at any moment of the stop. Connections that were idle at half of the grace were closed, but those that became idle later stayed open and went on taking requests, whose heads had been announced as kept before the signal.

Change: the announcement of a shutdown says until when requests that are likely to be done in time are admitted (0.45 of the grace); later ones need their whole time budget, else they get 'not run' at once, with which the caller goes elsewhere. Connections that become idle while a host drains are closed half a second later: a request that crosses that moment still gets a refusal.

--- a/packages/bench/src/__tests__/roster.test.ts
+++ b/packages/bench/src/__tests__/roster.test.ts
@@ -70,9 +70,11 @@
   it('tells every host of a shutdown within 200 ms', () => {
     const fleet = createGrayFailureFleet(hash, {hosts: 48});
     fleet.queue.runUntil(startupMs);
-    fleet.hosts
-      .get(fleet.hostId(7))
-      ?.deliver({type: 'shutdownAnnounced', endsAtMs: Number.MAX_SAFE_INTEGER});
+    fleet.hosts.get(fleet.hostId(7))?.deliver({
+      type: 'shutdownAnnounced',
+      endsAtMs: Number.MAX_SAFE_INTEGER,
+      lenientUntilMs: Number.MAX_SAFE_INTEGER,
+    });
     fleet.queue.runUntil(startupMs + 200);
     for (const [hostId, liveIds] of liveIdsByHost(fleet)) {
       expect(liveIds, `as ${hostId} sees it`).to.not.include(fleet.hostId(7));
--- a/packages/core/src/__tests__/requestTask.test.ts
+++ b/packages/core/src/__tests__/requestTask.test.ts
@@ -194,7 +194,7 @@
 describe('RequestTask: an announced shutdown', () => {
   it('refuses a running attempt at the end with outcome unknown', () => {
     const task = taskWithRunningAttempt('POST');
-    task.receive({type: 'shutdownAnnounced', endsAtMs: 500}, 10);
+    task.receive({type: 'shutdownAnnounced', endsAtMs: 500, lenientUntilMs: 500}, 10);
     const messages = task.receive({type: 'timerFired', timerId: 'shutdown'}, 500);
     expect(findRefusal(messages)).to.include({kind: 'answer-timeout', outcome: 'unknown'});
   });
@@ -205,7 +205,7 @@
     task.receive({type: 'freshUntil', untilMs: 10_000}, 0);
     const request = {requestId: 1, host: 'h', path: '/x', method: 'POST', keyDigest: digest};
     task.receive({type: 'requestArrived', ...request, isReplayable: true}, 0);
-    task.receive({type: 'shutdownAnnounced', endsAtMs: 500}, 10);
+    task.receive({type: 'shutdownAnnounced', endsAtMs: 500, lenientUntilMs: 500}, 10);
     const messages = task.receive({type: 'timerFired', timerId: 'shutdown'}, 500);
     expect(findRefusal(messages)).to.include({kind: 'shutting-down', outcome: 'not-run'});
   });
@@ -214,7 +214,7 @@
     const task = new RequestTask();
     task.receive({type: 'documentInForce', document, manifest}, 0);
     task.receive({type: 'freshUntil', untilMs: 10_000}, 0);
-    task.receive({type: 'shutdownAnnounced', endsAtMs: 1_000}, 0);
+    task.receive({type: 'shutdownAnnounced', endsAtMs: 1_000, lenientUntilMs: 1_000}, 0);
     const arrive = (requestId: number, budgetMs: number): readonly CoreMessage[] => {
       const request = {requestId, host: 'h', path: '/x', method: 'POST', keyDigest: digest};
       return task.receive({type: 'requestArrived', ...request, isReplayable: true, budgetMs}, 200);
@@ -228,7 +228,7 @@
     const task = new RequestTask();
     task.receive({type: 'documentInForce', document: {...document, routes}, manifest}, 0);
     task.receive({type: 'freshUntil', untilMs: 10_000}, 0);
-    task.receive({type: 'shutdownAnnounced', endsAtMs: 1_000}, 0);
+    task.receive({type: 'shutdownAnnounced', endsAtMs: 1_000, lenientUntilMs: 1_000}, 0);
     const arrive = (requestId: number, nowMs: number): readonly CoreMessage[] => {
       const request = {requestId, host: 'h', path: '/x', method: 'POST', keyDigest: digest};
       const arrived = {type: 'requestArrived', ...request, isReplayable: true} as const;
@@ -241,4 +241,26 @@
     expect(attempt).to.include({timeoutMs: 380});
     expect(findRefusal(arrive(2, 601))).to.include({kind: 'shutting-down', outcome: 'not-run'});
   });
+
+  // Guards against payments that are passed on late in a shutdown and cut at its end.
+  it('later admits only requests whose whole budget lies before the end, whatever their target latency', () => {
+    const routes = document.routes.map((route) => ({...route, targetLatencyMs: 200}));
+    const task = new RequestTask();
+    task.receive({type: 'documentInForce', document: {...document, routes}, manifest}, 0);
+    task.receive({type: 'freshUntil', untilMs: 10_000}, 0);
+    task.receive({type: 'shutdownAnnounced', endsAtMs: 1_000, lenientUntilMs: 300}, 0);
+    const arrive = (requestId: number, budgetMs: number, nowMs: number): readonly CoreMessage[] => {
+      const request = {requestId, host: 'h', path: '/x', method: 'POST', keyDigest: digest};
+      return task.receive(
+        {type: 'requestArrived', ...request, isReplayable: true, budgetMs},
+        nowMs,
+      );
+    };
+    expect(findRefusal(arrive(1, 2_000, 300))).to.equal(undefined);
+    expect(findRefusal(arrive(2, 2_000, 301))).to.include({
+      kind: 'shutting-down',
+      outcome: 'not-run',
+    });
+    expect(findRefusal(arrive(3, 699, 301))).to.equal(undefined);
+  });
 });
--- a/packages/core/src/messages/hostMessages.ts
+++ b/packages/core/src/messages/hostMessages.ts
@@ -240,8 +240,15 @@
   type: z.literal('shutdownAnnounced'),
   /** Moment at which the requests that still run are refused, in ms. */
   endsAtMs: z.number(),
+  /**
+   * Moment until which requests are served that are likely to be answered before the end, in ms; later ones are served
+   * only if their whole time budget lies before it.
+   */
+  lenientUntilMs: z.number(),
 });
 
+/** The process will shut down soon. */
+export type ShutdownAnnounced = z.infer<typeof shutdownAnnouncedSchema>;
 export type RegistryRead = z.infer<typeof registryReadSchema>;
 export type RegisteredServersChanged = z.infer<typeof registeredServersChangedSchema>;
 export type RosterChanged = z.infer<typeof rosterChangedSchema>;
--- a/packages/core/src/request/admitRequest.ts
+++ b/packages/core/src/request/admitRequest.ts
@@ -1,6 +1,7 @@
 import {isIdempotent} from '@godwitspring/document';
 import type {Customer, Route} from '@godwitspring/document';
 import type {ErrorKind} from '../errors/errorKinds.ts';
+import type {ShutdownAnnounced} from '../messages/hostMessages.ts';
 import type {RequestArrived} from '../messages/requestMessages.ts';
 import type {DocumentIndex} from '../routing/documentIndex.ts';
 import type {RandomSource} from '../random/randomSource.ts';
@@ -22,8 +23,8 @@
   /** True where requests of routes without a key (`openToAll`) are also refused without a fresh view. */
   readonly requiresFreshViewForOpenRoutes: boolean;
   readonly isShuttingDown: boolean;
-  /** Moment at which a shutdown ends the requests that still run, in ms; undefined where none is announced. */
-  readonly shutdownEndsAtMs?: number | undefined;
+  /** The shutdown of this host; undefined where none is announced. */
+  readonly shutdown?: Omit<ShutdownAnnounced, 'type'> | undefined;
   /** Requests with a shorter time budget are refused, in ms. */
   readonly minAttemptMs: number;
   /** True where a request was found to crash servers (poison request) and must not be sent again. */
@@ -65,9 +66,12 @@
   return backend;
 }
 
-/** Time that a request is sure or very likely to be answered in, in ms: its budget, or less by its target latency. */
-function timeNeededMs({targetLatencyMs}: Route, budgetMs: number): number {
-  return targetLatencyMs === undefined
+/**
+ * Time that a request has to have left before the shutdown ends, in ms: its budget. For a while the time in which it is
+ * very likely to be answered is enough, since load balancers still send requests to this host.
+ */
+function timeNeededMs({targetLatencyMs}: Route, budgetMs: number, isLenient: boolean): number {
+  return targetLatencyMs === undefined || !isLenient
     ? budgetMs
     : Math.min(budgetMs, targetLatencyMs * shutdownLatencyFactor);
 }
@@ -76,7 +80,7 @@
 function createRequestState(
   message: RequestArrived,
   {route, customer, index}: {route: Route; customer: Customer | undefined; index: DocumentIndex},
-  {shutdownEndsAtMs, minAttemptMs, isBlocked, random, nowMs}: AdmissionContext,
+  {shutdown, minAttemptMs, isBlocked, random, nowMs}: AdmissionContext,
 ): RequestState | ErrorKind {
   const backend = index.backend(chooseBackend(route, random));
   if (backend === undefined) {
@@ -93,8 +97,9 @@
   if (budgetMs < minAttemptMs) {
     return 'deadline-too-short';
   }
-  const leftMs = (shutdownEndsAtMs ?? Number.POSITIVE_INFINITY) - nowMs;
-  if (leftMs < timeNeededMs(route, budgetMs)) {
+  const leftMs = (shutdown?.endsAtMs ?? Number.POSITIVE_INFINITY) - nowMs;
+  const isLenient = nowMs <= (shutdown?.lenientUntilMs ?? Number.POSITIVE_INFINITY);
+  if (leftMs < timeNeededMs(route, budgetMs, isLenient)) {
     return 'shutting-down';
   }
   const requestDigest = message.requestDigest ?? '';
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -3,6 +3,7 @@
 import type {ErrorKind} from '../errors/errorKinds.ts';
 import type {CoreTask} from '../host/coreTask.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
+import type {ShutdownAnnounced} from '../messages/hostMessages.ts';
 import type {StoredResponse} from '../messages/peerMessages.ts';
 import type {AttemptFailure, RequestArrived} from '../messages/requestMessages.ts';
 import type {AttemptOutcome} from '../messages/attemptOutcome.ts';
@@ -111,8 +112,8 @@
   /** Host that relays the attempts; undefined where this host sends them itself. */
   #relayHostId: string | undefined;
   #isShuttingDown = false;
-  /** Moment at which the requests that still run are refused; undefined before a shutdown is announced. */
-  #shutdownEndsAtMs: number | undefined;
+  /** The shutdown of this host; undefined before it is announced. */
+  #shutdown: ShutdownAnnounced | undefined;
 
   constructor({
     maxAttempts = 3,
@@ -158,7 +159,7 @@
         this.#isShuttingDown = true;
         return [];
       case 'shutdownAnnounced':
-        this.#shutdownEndsAtMs = message.endsAtMs;
+        this.#shutdown = message;
         return [{type: 'timerWanted', timerId: shutdownTimerId, atMs: message.endsAtMs}];
       case 'relayChanged':
         this.#relayHostId = message.relayHostId;
@@ -173,7 +174,7 @@
   }
 
   #reportStatus(askId: number, nowMs: number): CoreMessage {
-    const isLeaving = this.#isShuttingDown || this.#shutdownEndsAtMs !== undefined;
+    const isLeaving = this.#isShuttingDown || this.#shutdown !== undefined;
     const value = {
       inProgress: this.#requests.size,
       isReady: this.#index !== undefined && nowMs <= this.#freshUntilMs && !isLeaving,
@@ -231,7 +232,7 @@
       isFresh: nowMs <= this.#freshUntilMs,
       requiresFreshViewForOpenRoutes: this.#options.requiresFreshViewForOpenRoutes,
       isShuttingDown: this.#isShuttingDown,
-      shutdownEndsAtMs: this.#shutdownEndsAtMs,
+      shutdown: this.#shutdown,
       minAttemptMs: this.#options.minAttemptMs,
       isBlocked: (key) => this.#blockedRequests.has(key, nowMs),
       random: this.#options.random,
--- a/packages/proxy/src/__tests__/__fixtures__/gossipFleetFixture.ts
+++ b/packages/proxy/src/__tests__/__fixtures__/gossipFleetFixture.ts
@@ -62,7 +62,8 @@
 
 /**
  * Proxy hosts on loopback that find each other by gossip, in front of backend servers whose behaviour each test sets.
- * All routes are open to all: `/lookup` is idempotent, `/payment` is not.
+ * All routes are open to all: `/lookup` is idempotent, `/payment` and `/booking` are not; `/booking` has a target latency
+ * far below its timeout.
  */
 export class GossipFleetFixture {
   readonly hosts: GossipHost[] = [];
@@ -176,13 +177,14 @@
   }
 
   #document(): FleetDocument {
-    const route = (id: string, idempotent: string): object => ({
+    const route = (id: string, idempotent: string, fields: object = {}): object => ({
       id,
       pathPrefix: `/${id}`,
       backend: 'core',
       openToAll: true,
       idempotent,
       timeoutMs: 2_000,
+      ...fields,
     });
     return documentSchema.parse({
       formatVersion: 1,
@@ -193,7 +195,11 @@
       dataCentres: [{id: dataCentre}],
       customers: [],
       backends: [{id: 'core', servers: [], isDiscovered: true}],
-      routes: [route('lookup', 'yes'), route('payment', 'no')],
+      routes: [
+        route('lookup', 'yes'),
+        route('payment', 'no'),
+        route('booking', 'no', {targetLatencyMs: 200, timeoutMs: 10_000}),
+      ],
     });
   }
 
--- a/packages/proxy/src/host/gossipHost.ts
+++ b/packages/proxy/src/host/gossipHost.ts
@@ -82,6 +82,11 @@
  * that the host is no longer ready.
  */
 const acceptShareOfGrace = 0.5;
+/**
+ * Share of the grace time after which only requests are accepted whose whole time budget lies before its end. It is
+ * smaller than the share above, as the signal may be handled late.
+ */
+const lenientShareOfGrace = 0.45;
 /** Part of the grace time that is reserved for refusals, closing sockets and ending the process, in ms. */
 const closeMarginMs = 500;
 /** Time in which the refusals at the end of the grace time are sent, in ms. */
@@ -252,10 +257,12 @@
     const {graceMs, timers} = this.#options;
     const inProgress = this.#callers.inProgress;
     this.#log.write('info', 'host.stopping', {inProgress, graceMs});
-    const endAtMs = timers.nowMs() + graceMs - closeMarginMs;
-    this.#runner.post({type: 'shutdownAnnounced', endsAtMs: endAtMs});
+    const startMs = timers.nowMs();
+    const endAtMs = startMs + graceMs - closeMarginMs;
+    const lenientUntilMs = startMs + graceMs * lenientShareOfGrace;
+    this.#runner.post({type: 'shutdownAnnounced', endsAtMs: endAtMs, lenientUntilMs});
     this.#callers.closeConnectionsAfterResponses();
-    await this.#waitUntil(timers.nowMs() + graceMs * acceptShareOfGrace);
+    await this.#waitUntil(startMs + graceMs * acceptShareOfGrace);
     const drained = Promise.all([this.#callers.drain(), this.#relay.drain()]).then(() => 'drained');
     const ended = this.#waitUntil(endAtMs + lastRefusalsMs).then(() => 'cut');
     const result = await Promise.race([drained, ended]);
--- a/packages/proxy/src/host/proxyHost.ts
+++ b/packages/proxy/src/host/proxyHost.ts
@@ -163,9 +163,14 @@
     const {settings, log} = this.#options;
     log.info({event: 'host.stopping', inProgress: this.#callers.inProgress});
     const {graceMs, announceMs} = settings.shutdown;
-    const endsAtMs = this.#timers.nowMs() + graceMs;
+    const startMs = this.#timers.nowMs();
+    const endsAtMs = startMs + graceMs;
     const deadline = this.#wait(graceMs + lastRefusalsMs).then(() => 'cut' as const);
-    this.#runner.post({type: 'shutdownAnnounced', endsAtMs});
+    this.#runner.post({
+      type: 'shutdownAnnounced',
+      endsAtMs,
+      lenientUntilMs: startMs + announceMs,
+    });
     this.#callers.closeConnectionsAfterResponses();
     await this.#wait(Math.min(announceMs, graceMs));
     const drained = this.#callers.drain().then(() => 'drained' as const);
--- a/packages/proxy/src/task/drainServer.ts
+++ b/packages/proxy/src/task/drainServer.ts
@@ -1,7 +1,13 @@
 import type {Server} from 'node:http';
 
 /**
- * Accepts no more connections and closes the idle ones. Resolves once all connections are closed, so that requests
+ * Time after which a connection is closed that becomes idle while the server drains, in ms. A request that its client
+ * sends at that moment still gets a refusal rather than a closed connection.
+ */
+const lateIdleTimeoutMs = 500;
+
+/**
+ * Accepts no more connections and closes the idle ones, also those that become idle later. Resolves once all connections are closed, so that requests
  * that are still being read and responses that are still being sent are waited for.
  */
 export async function drainServer(server: Server): Promise<void> {
@@ -10,5 +16,6 @@
       resolve();
     });
     server.closeIdleConnections();
+    server.keepAliveTimeout = lateIdleTimeoutMs;
   });
 }
