A host that stops relays no further attempts of other hosts

What callers would see: a payment whose host is cut off from the servers is relayed by a host in a planned stop, which takes it late in the grace and cuts it at the end.

Cause: the relay went on taking attempts on open connections until the end of the grace.

Change: from the signal on it refuses them as not sent, so that the other host chooses another relay. Attempts that run go on.

Measured: attemptRelayTask.test.ts, new test 'refuses attempts as not sent once it was told to'; the task had no such refusal before.

--- a/packages/proxy/src/__tests__/attemptRelayTask.test.ts
+++ b/packages/proxy/src/__tests__/attemptRelayTask.test.ts
@@ -192,4 +192,17 @@
     expect(event).to.deep.include({type: 'serverNoticed', serverId: 's-1'});
     expect(event).to.have.nested.property('notice.isLeaving', true);
   });
+
+  // Guards against attempts that a host relays late in its shutdown and cuts at its end; the last test, as it is final.
+  it('refuses attempts as not sent once it was told to', async () => {
+    let runs = 0;
+    onRequest = (_incoming, outgoing) => {
+      runs += 1;
+      outgoing.end('done');
+    };
+    expect(await run()).to.deep.equal({status: 200, text: 'done'});
+    relay.refuseAttempts();
+    expect(await run()).to.deep.equal({failure: 'relay', mayHaveRun: false});
+    expect(runs).to.equal(1);
+  });
 });
--- a/packages/proxy/src/attempt-relay/attemptRelayTask.ts
+++ b/packages/proxy/src/attempt-relay/attemptRelayTask.ts
@@ -98,9 +98,14 @@
     }
   }
 
+  /** From now on, refuses attempts that arrive: those that run end before the host does, and other hosts relay too. */
+  refuseAttempts(): void {
+    this.#isDraining = true;
+  }
+
   /** Accepts no more connections, and resolves once the attempts that run have ended and all connections are closed. */
   async drain(): Promise<void> {
-    this.#isDraining = true;
+    this.refuseAttempts();
     if (this.#server !== undefined) {
       await drainServer(this.#server);
     }
@@ -116,6 +121,10 @@
   }
 
   async #onAttempt(incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
+    if (this.#isDraining) {
+      this.#refuse(incoming, outgoing, 'shutting-down');
+      return;
+    }
     const serverId = String(incoming.headers[relayServerHeader]);
     const origin = this.#originByServerId.get(serverId);
     if (origin === undefined) {
--- a/packages/proxy/src/host/gossipHost.ts
+++ b/packages/proxy/src/host/gossipHost.ts
@@ -262,6 +262,7 @@
     const lenientUntilMs = startMs + graceMs * lenientShareOfGrace;
     this.#runner.post({type: 'shutdownAnnounced', endsAtMs: endAtMs, lenientUntilMs});
     this.#callers.closeConnectionsAfterResponses();
+    this.#relay.refuseAttempts();
     await this.#waitUntil(startMs + graceMs * acceptShareOfGrace);
     const drained = Promise.all([this.#callers.drain(), this.#relay.drain()]).then(() => 'drained');
     const ended = this.#waitUntil(endAtMs + lastRefusalsMs).then(() => 'cut');
