--- a/packages/document/src/registrySchemas.ts
+++ b/packages/document/src/registrySchemas.ts
@@ -1,7 +1,9 @@
 import {z} from 'zod';
 import {documentSchema} from './documentSchema.ts';
 
-/** Longest id of a server, backend or data centre in an entry, in characters. */
+/** Longest id of a server, in characters; it is sent in a header of each request. */
+const maxServerIdLength = 200;
+/** Longest name of a backend or data centre in an entry, in characters. */
 const maxNameLength = 65_536;
 /** Most requests that one server processes at the same time; an entry that names more is a mistake. */
 const maxSlots = 100_000;
@@ -13,7 +15,7 @@
   /** Id of one server instance; a server checks it against the instance that a request expects, in a header. */
   id: z
     .string()
-    .max(maxNameLength)
+    .max(maxServerIdLength)
     .regex(/^[\x21-\x7e]+$/, 'must be visible ASCII characters'),
   backendId: z.string().min(1).max(maxNameLength),
   /** Origin of the server: scheme, IP number and port. */
