Search for repeated responses builds its pattern only where a body holds a status line

Cause: a pattern and a set were made for each response, though hardly any body has a status line inside. Change: both are made when one is found; the reset of callers of HTTP/1.0 has a file of its own. Behaviour as before.

--- a/packages/proxy/src/backends/repeatedResponseDetector.ts
+++ b/packages/proxy/src/backends/repeatedResponseDetector.ts
@@ -21,19 +21,12 @@
  * A head counts only if it names an attempt of this connection, so that a body may quote other responses.
  */
 export class RepeatedResponseDetector {
-  readonly #headPattern: RegExp;
-  readonly #attemptNames: ReadonlySet<string>;
+  readonly #options: RepeatedResponseDetectorOptions;
   /** End of the body so far, in which a head may have begun. */
   #tail: Buffer = Buffer.alloc(0);
 
-  constructor({requestNameHeader, attemptNames}: RepeatedResponseDetectorOptions) {
-    this.#attemptNames = new Set(attemptNames);
-    this.#headPattern = new RegExp(
-      `HTTP/1\\.[01] \\d{3}[^\\r\\n]{0,${maxLineLength}}\\r\\n` +
-        `(?:[^\\r\\n]{1,${maxLineLength}}\\r\\n){0,${maxHeaderLines}}?` +
-        `${requestNameHeader}:[ \\t]*([^\\r\\n]{0,${maxLineLength}}?)[ \\t]*\\r\\n`,
-      'gi',
-    );
+  constructor(options: RepeatedResponseDetectorOptions) {
+    this.#options = options;
   }
 
   /** Reads the next bytes of the body; true if they complete the head of a repeated response. */
@@ -41,11 +34,20 @@
     const bytes = this.#tail.length === 0 ? chunk : Buffer.concat([this.#tail, chunk]);
     this.#tail = bytes.subarray(-maxHeadBytes);
     const startsAt = bytes.indexOf(statusLineStart);
-    if (startsAt < 0) {
-      return false;
-    }
-    for (const [, name = ''] of bytes.toString('latin1', startsAt).matchAll(this.#headPattern)) {
-      if (this.#attemptNames.has(name)) {
+    return startsAt >= 0 && this.#namesAttempt(bytes.toString('latin1', startsAt));
+  }
+
+  /** True if a text holds the head of a response that names an attempt of the connection. */
+  #namesAttempt(text: string): boolean {
+    const {requestNameHeader, attemptNames} = this.#options;
+    const headPattern = new RegExp(
+      `HTTP/1\\.[01] \\d{3}[^\\r\\n]{0,${maxLineLength}}\\r\\n` +
+        `(?:[^\\r\\n]{1,${maxLineLength}}\\r\\n){0,${maxHeaderLines}}?` +
+        `${requestNameHeader}:[ \\t]*([^\\r\\n]{0,${maxLineLength}}?)[ \\t]*\\r\\n`,
+      'gi',
+    );
+    for (const [, name = ''] of text.matchAll(headPattern)) {
+      if (attemptNames.includes(name)) {
         return true;
       }
     }
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -25,6 +25,7 @@
 import {declaredBodyBytes, requestDigest} from './requestHead.ts';
 import {readRequestTarget} from './requestTarget.ts';
 import {readWholeBody} from './readWholeBody.ts';
+import {resetIfBrokenOff} from './resetIfBrokenOff.ts';
 import {writeProblem} from './writeProblem.ts';
 import {drainServer} from '../task/drainServer.ts';
 import {listenOn} from '../task/listenOn.ts';
@@ -72,20 +73,6 @@
 
 type RequiredCallerTaskOptions = Omit<CallerTaskOptions, keyof typeof DEFAULT_CALLER_TASK_OPTIONS>;
 
-/**
- * Resets the connection to a caller where the body of its response breaks off. Called before the body is streamed, as
- * the stream closes the connection in order, which to a caller of HTTP/1.0 is the end of a complete response.
- */
-function resetIfBrokenOff({body}: PendingResponse, {socket}: ServerResponse): void {
-  const reset = (): void => {
-    if (!body.readableEnded) {
-      socket?.resetAndDestroy();
-    }
-  };
-  body.once('error', reset);
-  body.once('close', reset);
-}
-
 /**
  * Owns the sockets to callers: reads requests, reports them to the core, starts attempts on its command and
  * sends responses and refusals back.
