A short response without a length ends for its caller as it did for the host

A server that ends such a response by closing its connection can't be told from one that breaks down; the last chunk says that it ended. As a close it stays as open as it was.

The relay, which always sent chunks, does the same (related path).

--- a/packages/proxy/src/attempt-relay/attemptRelayTask.ts
+++ b/packages/proxy/src/attempt-relay/attemptRelayTask.ts
@@ -4,6 +4,7 @@
 import type {HostEffect, HostEvent} from '@godwitspring/core';
 import type {Dispatcher} from 'undici';
 import {bufferResponse} from '../backends/bufferResponse.ts';
+import {endByClose, endsByClose} from '../backends/endsByClose.ts';
 import {RepeatedResponseDetector} from '../backends/repeatedResponseDetector.ts';
 import {ServerConnectionPool, recordAttempt} from '../backends/serverConnectionPool.ts';
 import {endToEndHeaders} from '../callers/headers.ts';
@@ -162,7 +163,7 @@
       });
       const notice = dialect.serverNotice(response.statusCode, response.headers);
       postToCore({type: 'serverNoticed', serverId, notice});
-      const body = await bufferResponse(response.body, {
+      const buffered = await bufferResponse(response.body, {
         maxBytes: bufferedResponseBytes,
         wasReset: () => connection.wasReset,
         repeats: new RepeatedResponseDetector({
@@ -171,8 +172,11 @@
         }),
       });
       outgoing.shouldKeepAlive &&= !this.#isDraining;
+      if (endsByClose(response, buffered)) {
+        endByClose(outgoing);
+      }
       outgoing.writeHead(response.statusCode, endToEndHeaders(response.headers));
-      await pipeline(body, outgoing);
+      await pipeline(buffered.body, outgoing);
       if (isAnonymousFailure(response, requestNameHeader)) {
         pool.discard(connection);
       } else {
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -15,6 +15,7 @@
 import type {BackendCommand, RunAttempt} from './backendMessages.ts';
 import {relayNotSentHeader, relayServerHeader} from '../attempt-relay/relayHeaders.ts';
 import {bufferResponse} from './bufferResponse.ts';
+import {endsByClose} from './endsByClose.ts';
 import {RepeatedResponseDetector} from './repeatedResponseDetector.ts';
 import {ServerConnectionPool, dialTcp, recordAttempt} from './serverConnectionPool.ts';
 import type {Dial, ServerConnection} from './serverConnectionPool.ts';
@@ -311,7 +312,7 @@
     }
     const dropped = dialect.droppedResponseHeaders(notRunHeader);
     const headers = endToEndHeaders(response.headers, dropped);
-    const bufferedBody = await bufferResponse(body, {
+    const buffered = await bufferResponse(body, {
       maxBytes: bufferedResponseBytes,
       wasReset: () => connection.wasReset,
       repeats: new RepeatedResponseDetector({
@@ -323,7 +324,8 @@
       attempt,
       status,
       headers,
-      body: bufferedBody,
+      body: buffered.body,
+      endsByClose: endsByClose(response, buffered),
     });
     const {reportsNotRun, isMisdirected} = classification;
     this.#options.postToCore({
--- a/packages/proxy/src/backends/bufferResponse.ts
+++ b/packages/proxy/src/backends/bufferResponse.ts
@@ -31,6 +31,13 @@
   }
 }
 
+/** A response body, of which at least the start was read. */
+export interface BufferedResponse {
+  readonly body: Readable;
+  /** Size of the body, in bytes; undefined where it was not read to its end. */
+  readonly wholeBytes: number | undefined;
+}
+
 /**
  * Reads a small response body completely, so that a broken response is detected before any of it was sent to
  * the caller; a larger body is streamed. Fails where the body breaks off while it is read.
@@ -38,14 +45,15 @@
 export async function bufferResponse(
   body: Readable,
   options: BufferResponseOptions,
-): Promise<Readable> {
+): Promise<BufferedResponse> {
   const chunks: Buffer[] = [];
   let bytes = 0;
   const checkedChunks = soundChunks(body, options);
   while (bytes <= options.maxBytes) {
     const next = await checkedChunks.next();
     if (next.done === true) {
-      return Readable.from(chunks.length === 0 ? [] : [Buffer.concat(chunks)]);
+      const whole = Readable.from(chunks.length === 0 ? [] : [Buffer.concat(chunks)]);
+      return {body: whole, wholeBytes: bytes};
     }
     chunks.push(next.value);
     bytes += next.value.length;
@@ -55,5 +63,5 @@
   pipeline(Readable.from(checkedChunks), forwarded, () => {
     // A failure destroys `forwarded`, which breaks the caller's connection, so that the caller notices.
   });
-  return forwarded;
+  return {body: forwarded, wholeBytes: undefined};
 }
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -15,6 +15,7 @@
 import type {CallerLimits} from '@godwitspring/document';
 import {Hono} from 'hono';
 import type {BackendCommand} from '../backends/backendMessages.ts';
+import {endByClose} from '../backends/endsByClose.ts';
 import {Mailbox} from '../task/mailbox.ts';
 import type {TimerService} from '../timer/timerService.ts';
 import {ResponseRecorder} from './responseRecorder.ts';
@@ -331,6 +332,9 @@
     }
     try {
       this.#announceClose(outgoing);
+      if (response.endsByClose) {
+        endByClose(outgoing);
+      }
       outgoing.writeHead(response.status, {
         ...response.headers,
         [this.#requestNameHeader]: requestName,
--- a/packages/proxy/src/callers/exchange.ts
+++ b/packages/proxy/src/callers/exchange.ts
@@ -8,6 +8,8 @@
   readonly status: number;
   readonly headers: HeaderMap;
   readonly body: Readable;
+  /** True where only the close of the connection marks the end of the response, see `endsByClose`. */
+  readonly endsByClose: boolean;
 }
 
 /** A caller's request in progress, with its streams to the caller and the responses to its attempts. */
