Logs name the digest of a request and the crashes that a home counts

Cause: the users' record could not tell duplicates of a request from other requests, nor what the home of the backend knew. Change: attempt.failed, request.refused and the place.* lines carry requestDigest; place.granted carries crashedServers.

--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -396,6 +396,7 @@
       limitPerSecond: this.#availability.limitPerSecond(serverId),
       risk,
       provenAgoMs,
+      crashedServers: this.#poisonRequests.crashCount(requestDigest),
       secondAfterMs: this.#durations.secondAfterMs(routeId, risk),
       needsNewConnection: !query.isRepeatable && this.#isPathUncertain(hostId, serverId, nowMs),
     };
--- a/packages/core/src/placement/placementHomeTask.ts
+++ b/packages/core/src/placement/placementHomeTask.ts
@@ -173,10 +173,12 @@
     waitedMs: number,
     nowMs: number,
   ): readonly CoreMessage[] {
-    const {askId, backendId, requestName, isRepeat, isRepeatable, priority, customerId} = query;
+    const {askId, backendId, requestName, requestDigest} = query;
+    const {isRepeat, isRepeatable, priority, customerId} = query;
     const reply: PlaceAnswer = {type: 'placeAnswer', askId, state: placement.state};
     const fields: Record<string, unknown> = {
       requestName,
+      requestDigest,
       hostId,
       backendId,
       isRepeat,
--- a/packages/core/src/placement/poisonRequestDetector.ts
+++ b/packages/core/src/placement/poisonRequestDetector.ts
@@ -33,6 +33,11 @@
     return crash !== undefined && crash.untilMs > nowMs && crash.serverIds.size >= serversToBlock;
   }
 
+  /** Number of servers whose connections the request broke. */
+  crashCount(requestDigest: string): number {
+    return this.#crashes.get(requestDigest)?.serverIds.size ?? 0;
+  }
+
   #removeExpired(nowMs: number): void {
     for (const [requestDigest, {untilMs}] of this.#crashes) {
       if (untilMs > nowMs) {
--- a/packages/core/src/request/requestReport.ts
+++ b/packages/core/src/request/requestReport.ts
@@ -88,13 +88,13 @@
 
 /** Logs an attempt that failed, while the request goes on. */
 export function reportAttemptFailed(
-  {requestName}: RequestState,
+  {requestName, requestDigest}: RequestState,
   {attempt, serverId, startedAtMs}: AttemptState,
   outcome: AttemptOutcome,
   nowMs: number,
 ): CoreMessage {
   const ranForMs = Math.round(nowMs - startedAtMs);
-  const fields = {requestName, attempt, serverId, outcome, ranForMs};
+  const fields = {requestName, requestDigest, attempt, serverId, outcome, ranForMs};
   return {type: 'log', level: 'warn', event: 'attempt.failed', fields};
 }
 
@@ -144,6 +144,7 @@
   const afterMs = nowMs - request.arrivedAtMs;
   const fields = {
     requestName: request.requestName,
+    requestDigest: request.requestDigest,
     kind,
     outcome,
     phase: request.phase,
