--- a/packages/bench/src/__tests__/registryAndRateLimits.test.ts
+++ b/packages/bench/src/__tests__/registryAndRateLimits.test.ts
@@ -290,7 +290,7 @@
     fleet.queue.runUntil(startupMs + 2_000);
     fleet.startHost(5);
     fleet.queue.runUntil(startupMs + 4_000);
-    fleet.request('lookup', 'small', keyDigestOf('small'), fleet.hostId(5));
+    fleet.request('lookup', 'small', keyDigestOf('small'), {hostId: fleet.hostId(5)});
     fleet.queue.runUntil(startupMs + 6_000);
     expect(fleet.outcomes.at(-1)).to.include({status: 200, hostId: fleet.hostId(5)});
   });
--- a/packages/bench/src/gray-failure/grayFailureFleet.ts
+++ b/packages/bench/src/gray-failure/grayFailureFleet.ts
@@ -19,6 +19,10 @@
   readonly customerId: string;
   readonly hostId: string;
   readonly arrivedAtMs: number;
+  /** Digest that the request shares with its duplicates. */
+  readonly digest: string;
+  /** Number of its attempts that reached a server. */
+  readonly arrivals: number;
   /** Time from arrival to response or refusal, in ms. */
   readonly durationMs: number;
   /** Status of the server's response; undefined for a refusal. */
@@ -94,9 +98,21 @@
   readonly atMs: number;
 }
 
+/** One request of a caller. */
+export interface CallerRequest {
+  /** Digest that it shares with its duplicates. Default: one of its own. */
+  readonly digest: string;
+  /** Host that receives it. Default: a random one that is up. */
+  readonly hostId: string;
+  /** How it makes each server that runs it crash. Default: it crashes none. */
+  readonly crash: 'loud' | 'silent' | undefined;
+}
+
 /** A request that has no result yet. */
 interface PendingRequest {
   readonly route: SimulatedRoute;
+  readonly digest: string;
+  readonly crash: CallerRequest['crash'];
   readonly customerId: string;
   readonly hostId: string;
   readonly arrivedAtMs: number;
@@ -112,6 +128,12 @@
 const callerBudgetMs = 2_500;
 /** Time after which a host gives up a new connection, in ms. */
 const connectTimeoutMs = 120;
+/** Time that a request which crashes servers runs before the crash, in ms. */
+const crashAfterMs = 60;
+/** Time from the crash of a server until the registry removes its entry, in ms. */
+const registryLeaseMs = 3_500;
+/** Time from the crash of a server until another one takes its place, in ms. */
+const replacementMs = 4_000;
 
 /**
  * Simulates a fleet under virtual time whose hosts discover each other by gossip, in front of servers with
@@ -138,6 +160,12 @@
   readonly attemptHostIds = new Map<string, string[]>();
   /** Notices of servers that hosts received, in order. */
   readonly noticesHeard: HeardNotice[] = [];
+  /** Crashes of servers under requests, in order, with the digest of the request. */
+  readonly crashes: {readonly digest: string; readonly serverId: string; readonly atMs: number}[] =
+    [];
+  /** Attempts that reached a server, in order, with the digest of the request. */
+  readonly arrivals: {readonly digest: string; readonly serverId: string; readonly atMs: number}[] =
+    [];
   /** Number of attempts that reached a server, by host and request. */
   readonly attemptsByRequest = new Map<string, number>();
   readonly #options: GrayFailureFleetOptions;
@@ -245,12 +273,27 @@
     };
   }
 
-  /** Sends one request to the given host, or to a random host that is up. */
+  /** Ends a server and, once its lease has run out, removes its entry from the registry. */
+  crashServer(serverId: string, isSilent = false): void {
+    const server = this.servers.get(serverId);
+    if (server?.isUp !== true) {
+      return;
+    }
+    server.crash(isSilent);
+    this.after(registryLeaseMs, () => {
+      this.publish([{kind: 'serverGone', serverId, revision: this.registry.revision + 1}]);
+    });
+    this.after(replacementMs, () => {
+      this.addServer(server.backendId);
+    });
+  }
+
+  /** Sends one request to a host. */
   request(
     routeId: string,
     customerId: string,
     keyDigest: string,
-    hostId = this.#randomLiveHostId(),
+    {hostId = this.#randomLiveHostId(), digest, crash}: Partial<CallerRequest> = {},
   ): void {
     const route = this.#options.routes.find(({id}) => id === routeId);
     const host = this.hosts.get(hostId);
@@ -259,8 +302,11 @@
     }
     const requestId = this.#nextRequestId;
     this.#nextRequestId += 1;
+    const requestDigest = digest ?? `${requestId}`;
     this.#pendingRequests.set(this.#requestKey(hostId, requestId), {
       route,
+      digest: requestDigest,
+      crash,
       customerId,
       hostId,
       arrivedAtMs: this.queue.nowMs,
@@ -277,7 +323,7 @@
       isReplayable: true,
       budgetMs: callerBudgetMs,
       requestName: `${requestId}`,
-      requestDigest: `${requestId}`,
+      requestDigest,
     });
   }
 
@@ -407,6 +453,10 @@
     return !this.silentPaths.has(path) && !this.refusedPaths.has(path);
   }
 
+  #isConnectionRefused(host: SimulatedHost, {id, isUp, isDark}: GrayFailureServer): boolean {
+    return (!isUp && !isDark) || this.refusedPaths.has(`${host.id}>${id}`);
+  }
+
   #dial(host: SimulatedHost, serverId: string): void {
     const isConnected = this.#isPathOpen(host.id, serverId);
     this.after(isConnected ? this.#options.remoteDelayMs : connectTimeoutMs, () => {
@@ -451,10 +501,10 @@
         failBeforeSending('relay', connectTimeoutMs);
         return;
       }
-    } else if (this.refusedPaths.has(`${host.id}>${server.id}`)) {
+    } else if (this.#isConnectionRefused(host, server)) {
       failBeforeSending('connect', delayMs);
       return;
-    } else if (this.silentPaths.has(`${host.id}>${server.id}`)) {
+    } else if (server.isDark || this.silentPaths.has(`${host.id}>${server.id}`)) {
       if (attempt.needsNewConnection) {
         failBeforeSending('connect', connectTimeoutMs);
       }
@@ -462,10 +512,28 @@
     } else if (attempt.needsNewConnection) {
       host.deliver({type: 'serverDialed', serverId: server.id, isConnected: true});
     }
+    const breakOff = (): void => {
+      this.after(delayMs, () => {
+        const failure = 'lost';
+        host.deliver({
+          type: 'attemptFailed',
+          requestId,
+          attempt: number,
+          failure,
+          mayHaveRun: true,
+        });
+      });
+    };
     this.after(delayMs, () => {
       if (isCancelled) {
         return;
       }
+      if (!server.isUp) {
+        if (!server.isDark) {
+          breakOff();
+        }
+        return;
+      }
       const startTimesMs = this.attemptTimesMs.get(server.id) ?? [];
       startTimesMs.push(this.queue.nowMs);
       this.attemptTimesMs.set(server.id, startTimesMs);
@@ -474,7 +542,16 @@
       this.attemptHostIds.set(server.id, hostIds);
       const runKey = this.#requestKey(host.id, requestId);
       this.attemptsByRequest.set(runKey, (this.attemptsByRequest.get(runKey) ?? 0) + 1);
+      this.arrivals.push({
+        digest: pending.digest,
+        serverId: server.id,
+        atMs: this.queue.nowMs,
+      });
       abandon = server.handle({
+        onRun: () => {
+          this.#scheduleCrash(pending, server);
+        },
+        breakOff,
         meanMs: pending.route.meanMs,
         logDeviation: pending.route.logDeviation,
         timeoutMs: attempt.timeoutMs,
@@ -499,6 +576,19 @@
     });
   }
 
+  /** Lets a running request crash its server where it is one that does. */
+  #scheduleCrash({crash, digest}: PendingRequest, server: GrayFailureServer): void {
+    if (crash === undefined) {
+      return;
+    }
+    this.after(crashAfterMs, () => {
+      if (server.isUp) {
+        this.crashes.push({digest, serverId: server.id, atMs: this.queue.nowMs});
+        this.crashServer(server.id, crash === 'silent');
+      }
+    });
+  }
+
   #deliverResponse(host: SimulatedHost, requestId: number, attempt: number): void {
     const status = this.#pendingRequests
       .get(this.#requestKey(host.id, requestId))
@@ -520,8 +610,10 @@
       return;
     }
     this.#pendingRequests.delete(key);
-    const {route, customerId, arrivedAtMs} = pending;
+    const {route, customerId, arrivedAtMs, digest} = pending;
     this.outcomes.push({
+      digest,
+      arrivals: this.attemptsByRequest.get(key) ?? 0,
       routeId: route.id,
       customerId,
       hostId,
--- a/packages/bench/src/gray-failure/grayFailureServer.ts
+++ b/packages/bench/src/gray-failure/grayFailureServer.ts
@@ -41,6 +41,10 @@
   readonly isTrivial: boolean;
   /** Receives the response. */
   readonly respond: (response: GrayFailureResponse) => void;
+  /** Called where the server crashes while it holds the request. Default: the caller notices nothing. */
+  readonly breakOff?: (() => void) | undefined;
+  /** Called when the request starts to run. */
+  readonly onRun?: (() => void) | undefined;
 }
 
 /** A request that the server has accepted, queued or running. */
@@ -70,6 +74,10 @@
   notice: ServerNotice = {};
   /** What it states besides in refusals. */
   refusalNotice: ServerNotice = {};
+  /** False after it crashed. */
+  isUp = true;
+  /** True where it crashed without closing its connections: nothing comes from it any more. */
+  isDark = false;
   /** Number of requests that started to run. */
   runs = 0;
   readonly #options: GrayFailureServerOptions;
@@ -103,11 +111,30 @@
     };
   }
 
+  /** Ends for good; where `isSilent`, its connections stay open and nothing comes from it any more. */
+  crash(isSilent: boolean): void {
+    this.isUp = false;
+    this.isDark = isSilent;
+    const held = [...this.#running, ...this.#waiting];
+    this.#running.clear();
+    this.#waiting.length = 0;
+    for (const running of held) {
+      running.isFinished = true;
+      if (!isSilent) {
+        running.request.breakOff?.();
+      }
+    }
+  }
+
   #start(running: RequestRun): void {
     const {runAfter, errorShare} = this.#options;
     this.#running.add(running);
     this.runs += 1;
     const {request} = running;
+    request.onRun?.();
+    if (running.isFinished) {
+      return;
+    }
     if (!request.isTrivial && this.#isAffectedBy('silent')) {
       runAfter(request.timeoutMs, () => {
         this.#finish(running, {status: 504, reportsNotRun: false});
