Every host refuses a request that crashed three servers

What callers saw: requests of other customers were cut, and a third of them refused, while one request ended 39 servers. Cause: evidence that was sent to nobody. A request that lost two servers told the home of the backend nothing of either, as its releases were dropped; the reports by message had no task in the core of the fleets whose hosts discover each other. The home's own detector knew requests by digest alone, so that customers shared evidence, and died with its host; silent crashes counted nowhere. Change: one PoisonRequestTask in both cores, created by createRequestTasks. Three homes of a request, by customer, route and digest, collect crashes; silent attempts count once a dial or the lapsed entry shows the crash; successes clear, also earlier ones; a block reaches waiting requests, and hosts that start. Lost servers are always released, marked where the request is at fault, so slots and grants no longer stay taken. A keyed request where no replica can vote is refused at once. Messages without a receiver are logged. The simulated poison request no longer answers before its crash (a run drawn shorter than 60 ms did), and a dial to a crashed server fails.

--- a/packages/bench/src/gray-failure/grayFailureFleet.ts
+++ b/packages/bench/src/gray-failure/grayFailureFleet.ts
@@ -106,6 +106,7 @@
   readonly hostId: string;
   /** How it makes each server that runs it crash. Default: it crashes none. */
   readonly crash: 'loud' | 'silent' | undefined;
+  readonly idempotencyKey: string | undefined;
 }
 
 /** A request that has no result yet. */
@@ -293,7 +294,7 @@
     routeId: string,
     customerId: string,
     keyDigest: string,
-    {hostId = this.#randomLiveHostId(), digest, crash}: Partial<CallerRequest> = {},
+    {hostId = this.#randomLiveHostId(), digest, crash, idempotencyKey}: Partial<CallerRequest> = {},
   ): void {
     const route = this.#options.routes.find(({id}) => id === routeId);
     const host = this.hosts.get(hostId);
@@ -324,6 +325,7 @@
       budgetMs: callerBudgetMs,
       requestName: `${requestId}`,
       requestDigest,
+      idempotencyKey,
     });
   }
 
@@ -458,7 +460,8 @@
   }
 
   #dial(host: SimulatedHost, serverId: string): void {
-    const isConnected = this.#isPathOpen(host.id, serverId);
+    const isUp = this.servers.get(serverId)?.isUp === true;
+    const isConnected = isUp && this.#isPathOpen(host.id, serverId);
     this.after(isConnected ? this.#options.remoteDelayMs : connectTimeoutMs, () => {
       host.deliver({type: 'serverDialed', serverId, isConnected});
     });
@@ -548,8 +551,9 @@
         atMs: this.queue.nowMs,
       });
       abandon = server.handle({
-        onRun: () => {
-          this.#scheduleCrash(pending, server);
+        crashAfterMs: pending.crash === undefined ? undefined : crashAfterMs,
+        onCrash: () => {
+          this.#crashUnder(pending, server);
         },
         breakOff,
         meanMs: pending.route.meanMs,
@@ -576,17 +580,12 @@
     });
   }
 
-  /** Lets a running request crash its server where it is one that does. */
-  #scheduleCrash({crash, digest}: PendingRequest, server: GrayFailureServer): void {
-    if (crash === undefined) {
-      return;
+  /** Crashes a server under a request that does so. */
+  #crashUnder({crash, digest}: PendingRequest, server: GrayFailureServer): void {
+    if (server.isUp) {
+      this.crashes.push({digest, serverId: server.id, atMs: this.queue.nowMs});
+      this.crashServer(server.id, crash === 'silent');
     }
-    this.after(crashAfterMs, () => {
-      if (server.isUp) {
-        this.crashes.push({digest, serverId: server.id, atMs: this.queue.nowMs});
-        this.crashServer(server.id, crash === 'silent');
-      }
-    });
   }
 
   #deliverResponse(host: SimulatedHost, requestId: number, attempt: number): void {
--- a/packages/bench/src/gray-failure/grayFailureServer.ts
+++ b/packages/bench/src/gray-failure/grayFailureServer.ts
@@ -43,8 +43,10 @@
   readonly respond: (response: GrayFailureResponse) => void;
   /** Called where the server crashes while it holds the request. Default: the caller notices nothing. */
   readonly breakOff?: (() => void) | undefined;
-  /** Called when the request starts to run. */
-  readonly onRun?: (() => void) | undefined;
+  /** Time for which the request runs until the server crashes under it, in ms. Default: it crashes none. */
+  readonly crashAfterMs?: number | undefined;
+  /** Called at the end of that time. */
+  readonly onCrash?: (() => void) | undefined;
 }
 
 /** A request that the server has accepted, queued or running. */
@@ -131,8 +133,10 @@
     this.#running.add(running);
     this.runs += 1;
     const {request} = running;
-    request.onRun?.();
-    if (running.isFinished) {
+    if (request.crashAfterMs !== undefined) {
+      runAfter(request.crashAfterMs, () => {
+        request.onCrash?.();
+      });
       return;
     }
     if (!request.isTrivial && this.#isAffectedBy('silent')) {
--- a/packages/core/src/__tests__/placement.test.ts
+++ b/packages/core/src/__tests__/placement.test.ts
@@ -1,5 +1,4 @@
 import {expect} from 'chai';
-import {PoisonRequestDetector} from '../placement/poisonRequestDetector.ts';
 import type {PlacementCandidate, PlacementContext} from '../placement/placementPolicy.ts';
 import {RetryWindow} from '../placement/retryWindow.ts';
 import {ServerRisk} from '../placement/serverRisk.ts';
@@ -216,16 +215,6 @@
     expect(window.usedShare(30_000)).to.equal(0);
   });
 
-  it('blocks a poison request after it broke the connections of three servers', () => {
-    const detector = new PoisonRequestDetector();
-    detector.recordCrash('digest', 's-1', 0);
-    detector.recordCrash('digest', 's-2', 100);
-    expect(detector.isBlocked('digest', 200)).to.equal(false);
-    detector.recordCrash('digest', 's-3', 300);
-    expect(detector.isBlocked('digest', 400)).to.equal(true);
-    expect(detector.isBlocked('digest', 90_000)).to.equal(false);
-  });
-
   it('serves the most urgent request first, then the customer that was served least', () => {
     const queue = new PlacementQueue();
     const enqueue = (
--- a/packages/core/src/health/healthEntryTask.ts
+++ b/packages/core/src/health/healthEntryTask.ts
@@ -144,7 +144,15 @@
   }
 
   /** Category in which an outcome is reported; undefined for one that says nothing about the server. */
-  #categoryOf({outcome, routeId, latencyMs}: ServerReleased): OutcomeCategory | undefined {
+  #categoryOf({
+    outcome,
+    routeId,
+    latencyMs,
+    isRequestAtFault,
+  }: ServerReleased): OutcomeCategory | undefined {
+    if (isRequestAtFault === true) {
+      return undefined;
+    }
     switch (outcome) {
       case 'ok':
         return this.#isSlow(routeId, latencyMs) ? 'failed' : 'good';
--- a/packages/core/src/host/gossipCore.ts
+++ b/packages/core/src/host/gossipCore.ts
@@ -6,7 +6,7 @@
 import {ReachabilityTask} from '../reachability/reachabilityTask.ts';
 import {RegistryTask} from '../registry/registryTask.ts';
 import {HomeRetryPolicy} from '../request/retryPolicy.ts';
-import {RequestTask} from '../request/requestTask.ts';
+import {createRequestTasks} from '../request/createRequestTasks.ts';
 import {RosterTask} from '../roster/rosterTask.ts';
 import type {HashFunction} from '../hash/hashFunction.ts';
 import type {RandomSource} from '../random/randomSource.ts';
@@ -34,6 +34,8 @@
   readonly hash: HashFunction;
 }
 
+/** Number of crashed servers from which duplicates of a request are refused. */
+const maxCrashes = 3;
 /** Default of `GossipCoreOptions.capacityCores`. */
 const defaultCapacityCores = 1;
 /**
@@ -58,11 +60,17 @@
     new QuotaEntryTask({hash, bounds, firstNonce}),
     new PlacementEntryTask({selfId, hash, random, firstNonce}),
     new ReachabilityTask({selfId, random}),
-    new RequestTask({
-      retryPolicy: new HomeRetryPolicy(),
-      requiresFreshViewForOpenRoutes: false,
-      endsAtCallerDeadline: false,
-      random,
+    ...createRequestTasks({
+      selfId,
+      hash,
+      firstNonce,
+      maxCrashes,
+      request: {
+        retryPolicy: new HomeRetryPolicy(),
+        requiresFreshViewForOpenRoutes: false,
+        endsAtCallerDeadline: false,
+        random,
+      },
     }),
   ];
   return new HostCore({selfId, dataCentre, random, hash, tasks});
--- a/packages/core/src/host/hostCore.ts
+++ b/packages/core/src/host/hostCore.ts
@@ -8,11 +8,9 @@
 import type {LeaseBounds} from '../membership/membershipOptions.ts';
 import {MembershipTask} from '../membership/membershipTask.ts';
 import type {HostEffect, HostEvent} from '../messages/coreMessage.ts';
-import {IdempotencyClaimTask} from '../idempotency/idempotencyClaimTask.ts';
-import {PoisonRequestTask} from '../request/poisonRequestTask.ts';
 import {IdempotencyReplicaTask} from '../idempotency/idempotencyReplicaTask.ts';
 import type {IdempotencyReplicaOptions} from '../idempotency/idempotencyReplicaTask.ts';
-import {RequestTask} from '../request/requestTask.ts';
+import {createRequestTasks} from '../request/createRequestTasks.ts';
 import type {RequestTaskOptions} from '../request/requestTask.ts';
 import {PowerOfTwoChoices} from '../routing/powerOfTwoChoices.ts';
 import type {LoadBalancingPolicy} from '../routing/loadBalancingPolicy.ts';
@@ -111,14 +109,12 @@
           new HealthEntryTask(sharedOptions),
         ]),
         new IdempotencyReplicaTask({selfId, hash, ...idempotencyReplica}),
-        new IdempotencyClaimTask({selfId, hash, firstNonce}),
-        new PoisonRequestTask({selfId, hash}),
         ...(hasFleetSlots ? [new SlotHomeTask({selfId, hash, random, firstNonce})] : []),
         new ServerPoolTask({
           loadBalancingPolicy,
           slots: hasFleetSlots ? new SlotLeases({selfId, hash, firstNonce}) : undefined,
         }),
-        new RequestTask(request),
+        ...createRequestTasks({selfId, hash, firstNonce, request}),
       ],
     );
   }
--- a/packages/core/src/host/messageRouter.ts
+++ b/packages/core/src/host/messageRouter.ts
@@ -5,6 +5,7 @@
 /** Delivers messages between the tasks of one host in the order in which they were sent. */
 export class MessageRouter {
   readonly #tasksByType = new Map<string, CoreTask[]>();
+  readonly #unhandledTypes = new Set<string>();
 
   constructor(tasks: readonly CoreTask[]) {
     for (const task of tasks) {
@@ -25,10 +26,23 @@
         effects.push(message);
         continue;
       }
-      for (const task of this.#tasksByType.get(message.type) ?? []) {
+      const tasks = this.#tasksByType.get(message.type) ?? [];
+      for (const task of tasks) {
         queue.push(...task.receive(message, nowMs));
       }
+      if (tasks.length === 0 && message !== event) {
+        effects.push(...this.#reportUnhandled(message.type));
+      }
     }
     return effects;
   }
+
+  /** Logs a message of a task that no task of this host receives, once for each type. */
+  #reportUnhandled(type: string): HostEffect[] {
+    if (this.#unhandledTypes.has(type)) {
+      return [];
+    }
+    this.#unhandledTypes.add(type);
+    return [{type: 'log', level: 'warn', event: 'message.unhandled', fields: {type}}];
+  }
 }
--- a/packages/core/src/idempotency/idempotencyClaimTask.ts
+++ b/packages/core/src/idempotency/idempotencyClaimTask.ts
@@ -104,6 +104,9 @@
       this.#hostList === undefined
         ? []
         : replicasOf(this.#hostList, `${customerId}|${idempotencyKey}`, hash);
+    if (replicaIds.length === 0) {
+      return [{type: 'claimRefused', requestId, kind: 'repeat-unknown'}];
+    }
     const claimId = `${selfId}/${firstNonce}/${requestId}`;
     const claim: Claim = {
       requestId,
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -3,6 +3,7 @@
 import {errorKindSchema} from '../errors/errorKinds.ts';
 import {noticeReportSchema, serverNoticeSchema} from './serverNotice.ts';
 import {attemptOutcomeSchema} from './attemptOutcome.ts';
+import {requestIdentitySchema} from '../poison-requests/requestIdentity.ts';
 
 const versionSchema = z.number().int().min(0);
 const sha256Schema = z.string().length(64);
@@ -289,39 +290,41 @@
   answer: storedResponseSchema.optional(),
 });
 
-/** An entry host lost the connection to a server while it ran a request. */
-export const crashSeenSchema = z.object({
+/** An attempt of an entry host under which a server crashed. */
+export const crashSeenSchema = requestIdentitySchema.extend({
   type: z.literal('crashSeen'),
-  customerId: z.string(),
-  routeId: z.string(),
-  requestDigest: z.string().max(64),
   serverId: z.string(),
   /** Time for which the attempt ran, in ms. */
   ranForMs: z.number().min(0),
+  /** Time since the attempt ended, in ms; absent for none. */
+  endedAgoMs: z.number().min(0).optional(),
 });
 
-/** A request may have crashed a server; a host at which it gets a successful response replies with `requestCleared`. */
-export const requestSuspectedSchema = z.object({
+/** An attempt of an entry host ended without a response: its server may have crashed. */
+export const silenceSeenSchema = requestIdentitySchema.extend({
+  type: z.literal('silenceSeen'),
+  serverId: z.string(),
+  /** Time for which the attempt ran, in ms. */
+  ranForMs: z.number().min(0),
+});
+
+/** A request may have crashed servers; a host at which it gets a successful response replies with `requestCleared`. */
+export const requestSuspectedSchema = requestIdentitySchema.extend({
   type: z.literal('requestSuspected'),
-  customerId: z.string(),
-  routeId: z.string(),
-  requestDigest: z.string().max(64),
+  /** Time since the first of the crashes, in ms: a later success clears the request; absent for none. */
+  sinceAgoMs: z.number().min(0).optional(),
 });
 
-/** A suspected request got a successful response, so that it does not crash servers. */
-export const requestClearedSchema = z.object({
+/** A suspected or blocked request got a successful response, so that it does not crash servers. */
+export const requestClearedSchema = requestIdentitySchema.extend({
   type: z.literal('requestCleared'),
-  customerId: z.string(),
-  routeId: z.string(),
-  requestDigest: z.string().max(64),
 });
 
 /** A poison request, which crashed servers that ran it, is to be refused by every host. */
-export const requestBlockedSchema = z.object({
+export const requestBlockedSchema = requestIdentitySchema.extend({
   type: z.literal('requestBlocked'),
-  customerId: z.string(),
-  routeId: z.string(),
-  requestDigest: z.string().max(64),
+  /** Time for which it is refused, in ms; absent for the default. */
+  forMs: z.number().min(0).optional(),
 });
 
 /** The sender is shutting down and will not use its shares of fleet-wide limits again. */
@@ -560,6 +563,7 @@
   claimAnswerSchema,
   claimEndedSchema,
   crashSeenSchema,
+  silenceSeenSchema,
   slotAskSchema,
   slotAnswerSchema,
   slotReturnSchema,
@@ -594,6 +598,8 @@
 export type HealthVerdict = z.infer<typeof healthVerdictSchema>;
 export type ServerState = z.infer<typeof serverStateSchema>;
 export type StoredResponse = z.infer<typeof storedResponseSchema>;
+export type SilenceSeen = z.infer<typeof silenceSeenSchema>;
+export type CrashSeen = z.infer<typeof crashSeenSchema>;
 export type ClaimAsk = z.infer<typeof claimAskSchema>;
 export type ClaimAnswer = z.infer<typeof claimAnswerSchema>;
 export type ClaimEnded = z.infer<typeof claimEndedSchema>;
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -3,6 +3,7 @@
 import {storedResponseSchema} from './peerMessages.ts';
 import {attemptOutcomeSchema} from './attemptOutcome.ts';
 import {serverNoticeSchema} from './serverNotice.ts';
+import {requestIdentitySchema} from '../poison-requests/requestIdentity.ts';
 
 const requestIdSchema = z.number().int();
 
@@ -119,41 +120,37 @@
 });
 
 /** A server broke the connection while it ran the request, and may have crashed. */
-export const crashObservedSchema = z.object({
+export const crashObservedSchema = requestIdentitySchema.extend({
   type: z.literal('crashObserved'),
-  customerId: z.string(),
-  routeId: z.string(),
-  requestDigest: z.string(),
   serverId: z.string(),
   /** Time for which the attempt ran, in ms. */
   ranForMs: z.number(),
 });
 
-/** A request may have crashed a server: the next successful response to it is to be reported. */
-export const suspectWatchedSchema = z.object({
-  type: z.literal('suspectWatched'),
-  customerId: z.string(),
-  routeId: z.string(),
-  requestDigest: z.string(),
+/** An attempt ended without a response from its server, which may have crashed without closing the connection. */
+export const silenceObservedSchema = requestIdentitySchema.extend({
+  type: z.literal('silenceObserved'),
+  serverId: z.string(),
+  /** Time for which the attempt ran, in ms. */
+  ranForMs: z.number(),
 });
 
-/** A request suspected of crashing servers got a successful response. */
-export const suspectClearedSchema = z.object({
-  type: z.literal('suspectCleared'),
-  customerId: z.string(),
-  routeId: z.string(),
-  requestDigest: z.string(),
+/** A request got a successful response. */
+export const requestSucceededSchema = requestIdentitySchema.extend({
+  type: z.literal('requestSucceeded'),
 });
 
 /** A poison request, which crashes the servers that run it: its duplicates are to be refused on this host. */
-export const poisonRequestBlockedSchema = z.object({
+export const poisonRequestBlockedSchema = requestIdentitySchema.extend({
   type: z.literal('poisonRequestBlocked'),
-  customerId: z.string(),
-  routeId: z.string(),
-  requestDigest: z.string(),
   untilMs: z.number(),
 });
 
+/** A request that was taken for a poison request succeeded: its duplicates are no longer to be refused. */
+export const poisonRequestClearedSchema = requestIdentitySchema.extend({
+  type: z.literal('poisonRequestCleared'),
+});
+
 /** Sends the caller the stored response of an earlier run. */
 export const replayAnswerSchema = z.object({
   type: z.literal('replayAnswer'),
@@ -243,6 +240,8 @@
   latencyMs: z.number(),
   /** Time from the start of the attempt to its end, in ms. */
   ranForMs: z.number().optional(),
+  /** Whether the request, and not the server, is at fault for a lost connection. */
+  isRequestAtFault: z.boolean().optional(),
 });
 
 /** Limits on this host's use of a backend's servers; servers not listed are used without restriction. */
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -6,7 +6,6 @@
 import type {ServerNotice} from '../messages/serverNotice.ts';
 import {ServerAvailability} from './serverAvailability.ts';
 import {ServerNotices} from './serverNotices.ts';
-import {PoisonRequestDetector} from './poisonRequestDetector.ts';
 import {QueueAdmission} from './queueAdmission.ts';
 import type {ExpiredQuery} from './queueAdmission.ts';
 import {FloorPolicy} from './floorPolicy.ts';
@@ -26,10 +25,9 @@
 import {LowestRiskPolicy} from './lowestRiskPolicy.ts';
 import {TrialPolicy} from './trialPolicy.ts';
 
-/** A running attempt with its server and the digest of its request. */
+/** A running attempt with its server. */
 interface PlacedAttempt extends RunningAttempt {
   readonly serverId: string;
-  readonly requestDigest: string;
 }
 
 /** A candidate that a policy chose, with the name of the policy. */
@@ -71,7 +69,6 @@
   readonly #durations = new RouteDurations();
   readonly #recentOutcomes = new RecentOutcomes();
   readonly #retries: RetryWindow;
-  readonly #poisonRequests = new PoisonRequestDetector();
   readonly #suspectPaths = new SuspectPaths();
   readonly #availability: ServerAvailability;
   readonly admission = new QueueAdmission();
@@ -191,9 +188,6 @@
     } else {
       this.#retries.recordRequest(nowMs);
     }
-    if (this.#poisonRequests.isBlocked(query.requestDigest, nowMs)) {
-      return {state: 'refused', kind: 'request-crashes-servers', retryAfterMs: 0};
-    }
     if (this.#servers.length === 0) {
       return {state: 'refused', kind: 'no-server', retryAfterMs: noServerRetryMs};
     }
@@ -285,7 +279,7 @@
       return false;
     }
     this.#attempts.delete(key);
-    const {serverId, routeId, requestDigest} = attempt;
+    const {serverId, routeId} = attempt;
     const serverRisk = this.#riskOf(serverId);
     serverRisk.running.delete(key);
     if (outcome === 'cancelled' && ranForMs === 0) {
@@ -302,10 +296,6 @@
     this.#recentOutcomes.record(outcome, nowMs);
     if (outcome === 'ok') {
       this.#durations.record(routeId, ranForMs);
-      this.#poisonRequests.clear(requestDigest);
-    }
-    if (outcome === 'lost') {
-      this.#poisonRequests.recordCrash(requestDigest, serverId, nowMs);
     }
     if (outcome === 'misdirected') {
       this.#availability.recordMisdirected(serverId, nowMs);
@@ -344,7 +334,7 @@
     for (const {askId, serverId, routeId, ageMs} of running) {
       const key = `${hostId}/${askId}`;
       const attempt = {hostId, routeId, startedAtMs: nowMs - ageMs};
-      this.#attempts.set(key, {...attempt, serverId, requestDigest: ''});
+      this.#attempts.set(key, {...attempt, serverId});
       this.#riskOf(serverId).start(key, attempt);
     }
     for (const {serverId, outcome, startedAgoMs, ranForMs} of recent) {
@@ -377,10 +367,10 @@
     {serverId, risk, policy}: ChosenServer,
     nowMs: number,
   ): GrantedPlacement {
-    const {routeId, requestDigest} = query;
+    const {routeId} = query;
     const serverRisk = this.#riskOf(serverId);
     const provenAgoMs = nowMs - serverRisk.lastSuccessStartMs;
-    const attempt: PlacedAttempt = {hostId, routeId, startedAtMs: nowMs, serverId, requestDigest};
+    const attempt: PlacedAttempt = {hostId, routeId, startedAtMs: nowMs, serverId};
     this.#attempts.set(key, attempt);
     serverRisk.start(key, attempt);
     this.#newServers.recordStart(serverId);
@@ -396,7 +386,6 @@
       limitPerSecond: this.#availability.limitPerSecond(serverId),
       risk,
       provenAgoMs,
-      crashedServers: this.#poisonRequests.crashCount(requestDigest),
       secondAfterMs: this.#durations.secondAfterMs(routeId, risk),
       needsNewConnection: !query.isRepeatable && this.#isPathUncertain(hostId, serverId, nowMs),
     };
--- a/packages/core/src/placement/placementDecision.ts
+++ b/packages/core/src/placement/placementDecision.ts
@@ -14,8 +14,6 @@
   readonly secondAfterMs: number;
   /** Time since the start of the last successful attempt on the server, in ms; infinite for none. */
   readonly provenAgoMs: number;
-  /** Servers whose connections the request or its duplicates broke, as far as the home knows. */
-  readonly crashedServers: number;
   /** True where the attempt has to use a new connection, as the path from the host to the server is uncertain. */
   readonly needsNewConnection: boolean;
 }
--- a/packages/core/src/request/admitRequest.ts
+++ b/packages/core/src/request/admitRequest.ts
@@ -5,6 +5,7 @@
 import type {RequestArrived} from '../messages/requestMessages.ts';
 import type {DocumentIndex} from '../routing/documentIndex.ts';
 import type {RandomSource} from '../random/randomSource.ts';
+import type {RequestIdentity} from '../poison-requests/requestIdentity.ts';
 import type {RequestState} from './requestState.ts';
 
 /** Longest idempotency key that is accepted, in characters. */
@@ -28,16 +29,11 @@
   /** Requests with a shorter time budget are refused, in ms. */
   readonly minAttemptMs: number;
   /** True where a request was found to crash servers (poison request) and must not be sent again. */
-  readonly isBlocked: (requestKey: string) => boolean;
+  readonly isBlocked: (identity: RequestIdentity) => boolean;
   readonly random: RandomSource;
   readonly nowMs: number;
 }
 
-/** Key that identifies a request and its duplicates: customer, route and request digest. */
-export function requestKey(customerId: string, routeId: string, requestDigest: string): string {
-  return JSON.stringify([customerId, routeId, requestDigest]);
-}
-
 /** Finds the customer of a request by its key; undefined for a route that needs no key. */
 function authenticateCustomer(
   route: Route,
@@ -103,7 +99,7 @@
     return 'shutting-down';
   }
   const requestDigest = message.requestDigest ?? '';
-  if (isBlocked(requestKey(customer?.id ?? '', route.id, requestDigest))) {
+  if (isBlocked({customerId: customer?.id ?? '', routeId: route.id, requestDigest})) {
     return 'request-crashes-servers';
   }
   return {
--- a/packages/core/src/request/endRequest.ts
+++ b/packages/core/src/request/endRequest.ts
@@ -7,13 +7,14 @@
 const notRunOutcomes: ReadonlySet<AttemptOutcome> = new Set(['shed', 'unreachable', 'misdirected']);
 
 /**
- * Lost connections that count against their servers.
+ * Releases the servers whose connections were lost.
  *
- * A request that lost its connections to two or more servers counts as the cause itself: no loss counts then.
+ * A request that lost its connections to two or more servers counts as the cause itself.
  */
-function lossesToReport({lossReports}: RequestState): readonly CoreMessage[] {
+function releaseLostServers({lossReports}: RequestState): readonly CoreMessage[] {
   const serverIds = new Set(lossReports.map(({serverId}) => serverId));
-  return serverIds.size > 1 ? [] : lossReports;
+  const isRequestAtFault = serverIds.size > 1;
+  return lossReports.map((released) => ({...released, isRequestAtFault}));
 }
 
 /** Cancels attempts, discards their responses and releases their servers. */
@@ -63,7 +64,7 @@
   return [
     ...cancelled,
     ...withdrawRequest(request),
-    ...lossesToReport(request),
+    ...releaseLostServers(request),
     {type: 'claimFinalized', requestId, state: hasRun ? 'unknown' : 'not-run'},
   ];
 }
--- a/packages/core/src/request/releaseServer.ts
+++ b/packages/core/src/request/releaseServer.ts
@@ -3,14 +3,26 @@
 import type {AttemptOutcome} from '../messages/attemptOutcome.ts';
 import type {AttemptState, RequestState} from './requestState.ts';
 
-/** Reports a connection lost during an attempt: the request may have crashed the server. */
+/**
+ * Reports an attempt under which the server may have crashed: the connection was lost, or the request ended without
+ * a response.
+ */
 function reportPossibleCrash(
-  {customerId = '', route, requestDigest}: RequestState,
-  serverId: string,
+  {customerId = '', route, requestDigest, phase}: RequestState,
+  {serverId, headLatencyMs}: AttemptState,
+  outcome: AttemptOutcome,
   ranForMs: number,
 ): readonly CoreMessage[] {
-  const identity = {customerId, routeId: route.id, requestDigest};
-  return requestDigest === '' ? [] : [{type: 'crashObserved', ...identity, serverId, ranForMs}];
+  if (requestDigest === '') {
+    return [];
+  }
+  const observed = {customerId, routeId: route.id, requestDigest, serverId, ranForMs};
+  if (outcome === 'lost') {
+    return [{type: 'crashObserved', ...observed}];
+  }
+  const wasSilent = outcome === 'timeout' || outcome === 'cancelled';
+  const isAnswered = phase === 'delivering' || headLatencyMs !== undefined;
+  return wasSilent && !isAnswered ? [{type: 'silenceObserved', ...observed}] : [];
 }
 
 /** Creates the message that releases a server, with the outcome and times of the attempt. */
@@ -41,10 +53,11 @@
  */
 export function releaseServer(
   request: RequestState,
-  {attempt, serverId, startedAtMs, headLatencyMs}: AttemptState,
+  running: AttemptState,
   outcome: AttemptOutcome,
   nowMs: number,
 ): readonly CoreMessage[] {
+  const {attempt, serverId, startedAtMs, headLatencyMs} = running;
   request.running.delete(attempt);
   request.unreachedAttempts += outcome === 'unreachable' ? 1 : 0;
   request.excludedServerIds.push(serverId);
@@ -53,11 +66,12 @@
     latencyMs: headLatencyMs ?? 0,
     ranForMs,
   });
+  const reports = reportPossibleCrash(request, running, outcome, ranForMs);
   if (outcome !== 'lost') {
-    return [released];
+    return [released, ...reports];
   }
   request.lossReports.push(released);
-  return reportPossibleCrash(request, serverId, ranForMs);
+  return reports;
 }
 
 /** Withdraws the pending queries of a request and releases a server that was granted but not used. */
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -11,7 +11,9 @@
 import {DocumentIndex} from '../routing/documentIndex.ts';
 import type {RandomSource} from '../random/randomSource.ts';
 import {SeededRandom} from '../random/seededRandom.ts';
-import {admitRequest, requestKey} from './admitRequest.ts';
+import {requestKey} from '../poison-requests/requestIdentity.ts';
+import type {RequestIdentity} from '../poison-requests/requestIdentity.ts';
+import {admitRequest} from './admitRequest.ts';
 import {
   retryCauseByOutcome,
   outcomeOfErrorStatus,
@@ -60,8 +62,6 @@
 const deadlineTimerPrefix = 'request:';
 const hedgeTimerPrefix = 'second:';
 const shutdownTimerId = 'shutdown';
-/** Time for which a successful response to a request suspected of crashing servers is reported, in ms. */
-const suspectWatchMs = 60_000;
 /** Number of lost connections to servers after which a request is refused as a poison request. */
 const maxLostConnections = 2;
 /**
@@ -71,6 +71,21 @@
  */
 const maxUnreachedAttempts = 4;
 
+function identityOfRequest({
+  customerId = '',
+  route: {id: routeId},
+  requestDigest,
+}: RequestState): RequestIdentity {
+  return {customerId, routeId, requestDigest};
+}
+
+/** Reports that a request got a successful response. */
+function reportSucceeded(request: RequestState): readonly CoreMessage[] {
+  return request.requestDigest === ''
+    ? []
+    : [{type: 'requestSucceeded', ...identityOfRequest(request)}];
+}
+
 /**
  * Runs the life cycle of every request on its entry host, from arrival to response or refusal.
  *
@@ -83,7 +98,7 @@
     'claimGranted',
     'claimRefused',
     'poisonRequestBlocked',
-    'suspectWatched',
+    'poisonRequestCleared',
     'serverGranted',
     'serverRefused',
     'permitGranted',
@@ -105,8 +120,6 @@
   readonly #requests = new Map<number, RequestState>();
   /** Poison requests: requests that crash servers and are refused. */
   readonly #blockedRequests = new ExpiringKeySet();
-  /** Requests suspected of crashing servers; a successful response clears them. */
-  readonly #suspectRequests = new ExpiringKeySet();
   #index: DocumentIndex | undefined;
   #freshUntilMs = Number.NEGATIVE_INFINITY;
   /** Host that relays the attempts; undefined where this host sends them itself. */
@@ -142,19 +155,11 @@
       case 'freshUntil':
         this.#freshUntilMs = message.untilMs;
         return [];
-      case 'poisonRequestBlocked': {
-        const {customerId, routeId, requestDigest, untilMs} = message;
-        this.#blockedRequests.add(requestKey(customerId, routeId, requestDigest), untilMs);
-        return [];
-      }
-      case 'suspectWatched': {
-        const {customerId, routeId, requestDigest} = message;
-        this.#suspectRequests.add(
-          requestKey(customerId, routeId, requestDigest),
-          nowMs + suspectWatchMs,
-        );
+      case 'poisonRequestBlocked':
+        return this.#onPoisonRequest(message, message.untilMs, nowMs);
+      case 'poisonRequestCleared':
+        this.#blockedRequests.delete(requestKey(message));
         return [];
-      }
       case 'shutdownWanted':
         this.#isShuttingDown = true;
         return [];
@@ -234,7 +239,7 @@
       isShuttingDown: this.#isShuttingDown,
       shutdown: this.#shutdown,
       minAttemptMs: this.#options.minAttemptMs,
-      isBlocked: (key) => this.#blockedRequests.has(key, nowMs),
+      isBlocked: (identity) => this.#blockedRequests.has(requestKey(identity), nowMs),
       random: this.#options.random,
       nowMs,
     });
@@ -514,6 +519,9 @@
     if (request.deadlineAtMs - nowMs < minAttemptMs) {
       return false;
     }
+    if (this.#blockedRequests.has(requestKey(identityOfRequest(request)), nowMs)) {
+      return false;
+    }
     return retryPolicy.tryAcquireRetry(cause);
   }
 
@@ -543,17 +551,22 @@
     return [...messages, countForRoute(`retry.${reason}`, request)];
   }
 
-  /** Reports that a request suspected of crashing servers was answered without a failure. */
-  #clearSuspicion(
-    {customerId = '', route, requestDigest}: RequestState,
+  /** Refuses duplicates of a poison request, and those that wait for a server. */
+  #onPoisonRequest(
+    identity: RequestIdentity,
+    untilMs: number,
     nowMs: number,
   ): readonly CoreMessage[] {
-    const key = requestKey(customerId, route.id, requestDigest);
-    if (!this.#suspectRequests.has(key, nowMs)) {
-      return [];
+    const key = requestKey(identity);
+    this.#blockedRequests.add(key, untilMs);
+    const messages: CoreMessage[] = [];
+    for (const request of [...this.#requests.values()]) {
+      const isWaiting = request.phase !== 'attempt' && request.phase !== 'delivering';
+      if (isWaiting && requestKey(identityOfRequest(request)) === key) {
+        messages.push(...this.#refuse(request, 'request-crashes-servers', nowMs));
+      }
     }
-    this.#suspectRequests.delete(key);
-    return [{type: 'suspectCleared', customerId, routeId: route.id, requestDigest}];
+    return messages;
   }
 
   #onAttemptFinished(
@@ -571,7 +584,7 @@
       {type: 'claimFinalized', requestId, state: 'answered', answer},
       ...releaseServer(request, running, serverFailure ?? 'ok', nowMs),
       ...this.#endRequest(request, 'ok', nowMs),
-      ...(serverFailure === undefined ? this.#clearSuspicion(request, nowMs) : []),
+      ...(serverFailure === undefined ? reportSucceeded(request) : []),
       ...reportAnswered(request, running, nowMs),
     ];
   }
