A response of the platform without end no longer fills a host's memory

What operators saw: elsewhere, a host that kept all bytes of a response without end ran out of memory. Here a read of the store, or of the published host list, kept every byte until its timeout. Cause: the class of unbounded reads; bodies of servers and callers were bounded, those of the platform were not.

--- a/packages/proxy/src/errors/hostErrors.ts
+++ b/packages/proxy/src/errors/hostErrors.ts
@@ -6,6 +6,9 @@
 /** The platform did not respond to a read, or responded with an error. */
 export const PlatformError = HostError.subclass('PlatformError');
 
+/** A response of the platform is larger than a host accepts. */
+export const ResponseTooLargeError = HostError.subclass('ResponseTooLargeError');
+
 /** A caller's request body is larger than its route accepts. */
 export const BodyLimitError = HostError.subclass('BodyLimitError');
 
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -16,6 +16,8 @@
 export {SystemTimerService} from './timer/systemTimerService.ts';
 export type {Platform, HostListUpdate} from './platform/platform.ts';
 export {HttpPlatform} from './platform/httpPlatform.ts';
+export {readBoundedText} from './platform/readBoundedText.ts';
+export {ResponseTooLargeError} from './errors/hostErrors.ts';
 export {GossipHost} from './host/gossipHost.ts';
 export type {GossipHostAddresses, GossipHostOptions} from './host/gossipHost.ts';
 export type {
--- a/packages/proxy/src/platform/httpPlatform.ts
+++ b/packages/proxy/src/platform/httpPlatform.ts
@@ -4,6 +4,7 @@
 import {z} from 'zod';
 import {PlatformError} from '../errors/hostErrors.ts';
 import type {HostListUpdate, Platform} from './platform.ts';
+import {readBoundedText} from './readBoundedText.ts';
 
 const hostsResponseSchema = z.object({asOfMs: z.number(), lists: z.array(hostListSchema)});
 const valueResponseSchema = z.object({value: z.string()});
@@ -66,7 +67,7 @@
         dispatcher: this.#agent,
         signal: AbortSignal.timeout(waitMs + responseTimeoutMs),
       });
-      const body = await response.body.text();
+      const body = await readBoundedText(response.body);
       if (response.statusCode >= 300) {
         throw new PlatformError(
           `the platform responded with status ${response.statusCode} to ${path}`,
