A host that reaches no peer refuses a request that crashed three servers

What callers saw: a host that was cut off from its peers sent the request on, 9 times later than 3 s after the third crash (3 allowed). Change: each host counts its own observations too; the homes pass a success on to every host, as any of them may hold evidence.

--- a/packages/bench/src/__tests__/poisonRequests.test.ts
+++ b/packages/bench/src/__tests__/poisonRequests.test.ts
@@ -35,10 +35,19 @@
 }
 
 /** Sends the same request of one customer again and again, through random hosts. */
-function repeatRequest(fleet: GrayFailureFleet, crash: 'loud' | 'silent' | undefined): void {
+function repeatRequest(
+  fleet: GrayFailureFleet,
+  crash: 'loud' | 'silent' | undefined,
+  hostId?: string,
+): void {
   for (let afterMs = 0; afterMs < repeatedForMs; afterMs += repeatIntervalMs) {
     fleet.after(afterMs, () => {
-      fleet.request('lookup', 'large', keyDigestOf('large'), {digest: poisonDigest, crash});
+      const to = hostId === undefined ? {} : {hostId};
+      fleet.request('lookup', 'large', keyDigestOf('large'), {
+        digest: poisonDigest,
+        crash,
+        ...to,
+      });
     });
   }
 }
@@ -129,6 +138,20 @@
     });
   }
 
+  it('are refused by a host that no longer reaches its peers', () => {
+    const fleet = startFleet(hash, 5);
+    const cutOffId = fleet.hostId(7);
+    for (const id of fleet.hosts.keys()) {
+      if (id !== cutOffId) {
+        fleet.network.cut(id, cutOffId);
+        fleet.network.cut(cutOffId, id);
+      }
+    }
+    repeatRequest(fleet, 'loud', cutOffId);
+    fleet.queue.runUntil(fleet.queue.nowMs + repeatedForMs);
+    expect(countLateArrivals(fleet)).to.be.at.most(maxLateArrivals);
+  });
+
   it('do not have an equal request of another customer refused', () => {
     const fleet = startFleet(hash, 4);
     repeatRequest(fleet, 'loud');
--- a/packages/core/src/__tests__/poisonRequestTask.test.ts
+++ b/packages/core/src/__tests__/poisonRequestTask.test.ts
@@ -80,6 +80,13 @@
     expect(blocksIn(crash('s-3', 300))).to.deep.equal([]);
   });
 
+  it('tells every host that a suspect request succeeded, as its home', () => {
+    receive({type: 'requestSuspected', ...identity, sinceAgoMs: 0}, 200);
+    const message = {type: 'requestCleared', ...identity} as const;
+    expect(receive(message, 300)).to.deep.equal([{type: 'sendToPeer', toHostId: 'h-2', message}]);
+    expect(receive(message, 301)).to.deep.equal([]);
+  });
+
   it('lifts the block of a request that succeeds', () => {
     crash('s-1', 100);
     crash('s-2', 200);
--- a/packages/core/src/poison-requests/poisonRequestTask.ts
+++ b/packages/core/src/poison-requests/poisonRequestTask.ts
@@ -55,7 +55,7 @@
 /**
  * Detects poison requests, which crash the servers that run them, and has every host refuse duplicates of
  * them. Hosts report crashes to the request's homes, several hosts that each collect the evidence of the whole
- * fleet, so that it outlives the loss of one.
+ * fleet, so that it outlives the loss of one, and count their own.
  *
  * A successful response to the request on any host clears it: a request that data centres fail under, but that
  * also succeeds, is not the cause.
@@ -144,8 +144,10 @@
     }
   }
 
+  /** Reports to the homes of a request, and to this host itself, which may not reach them. */
   #sendToHomes(identity: RequestIdentity, message: PeerMessage): readonly CoreMessage[] {
-    return this.#sendTo(this.#homes.homesOf(requestKey(identity)), message);
+    const homeIds = this.#homes.homesOf(requestKey(identity));
+    return this.#sendTo([...new Set([this.#options.selfId, ...homeIds])], message);
   }
 
   #crashSeen(
@@ -200,14 +202,12 @@
     const key = requestKey(identity);
     this.#successes.record(key, nowMs);
     return this.#watchedKeys.has(key, nowMs) || this.#blocked.has(key)
-      ? this.#reportSuccess(identity, key)
+      ? this.#reportSuccess(identity)
       : [];
   }
 
-  #reportSuccess(identity: RequestIdentity, key: string): readonly CoreMessage[] {
-    this.#watchedKeys.delete(key);
-    const message: PeerMessage = {type: 'requestCleared', ...identityOf(identity)};
-    return this.#sendTo(this.#homes.homesOf(key), message);
+  #reportSuccess(identity: RequestIdentity): readonly CoreMessage[] {
+    return this.#sendToHomes(identity, {type: 'requestCleared', ...identityOf(identity)});
   }
 
   #onPeerMessage(fromHostId: string, message: PeerMessage, nowMs: number): readonly CoreMessage[] {
@@ -220,7 +220,7 @@
         const key = requestKey(message);
         this.#watchedKeys.add(key, nowMs + suspectWatchMs);
         return this.#successes.hasSince(key, nowMs - (message.sinceAgoMs ?? 0))
-          ? this.#reportSuccess(message, key)
+          ? this.#reportSuccess(message)
           : [];
       }
       case 'requestBlocked': {
@@ -228,7 +228,7 @@
         return this.#block(message, nowMs + forMs);
       }
       case 'requestCleared':
-        return this.#clear(message);
+        return this.#clear(message, nowMs);
       default:
         return [];
     }
@@ -343,18 +343,19 @@
     return [{type: 'poisonRequestBlocked', ...identity, untilMs}];
   }
 
-  /** Forgets the evidence against a request that succeeded; a home that had it blocked tells every host. */
-  #clear(message: RequestIdentity): readonly CoreMessage[] {
+  /** Forgets the evidence against a request that succeeded; a home tells every host that knows of it. */
+  #clear(message: RequestIdentity, nowMs: number): readonly CoreMessage[] {
     const identity = identityOf(message);
     const key = requestKey(identity);
     this.#suspects.delete(key);
-    if (!this.#blocked.delete(key)) {
-      return [];
-    }
+    const wasWatched = this.#watchedKeys.has(key, nowMs);
+    this.#watchedKeys.delete(key);
+    const wasBlocked = this.#blocked.delete(key);
     const isHome = this.#homes.homesOf(key).includes(this.#options.selfId);
+    const hostIds = isHome && (wasWatched || wasBlocked) ? this.#otherHostIds() : [];
     return [
-      {type: 'poisonRequestCleared', ...identity},
-      ...(isHome ? this.#sendTo(this.#otherHostIds(), {type: 'requestCleared', ...identity}) : []),
+      ...(wasBlocked ? [{type: 'poisonRequestCleared', ...identity} as const] : []),
+      ...this.#sendTo(hostIds, {type: 'requestCleared', ...identity}),
     ];
   }
 
