A request of a host whose connections are reset is not taken for one that crashes servers

What callers saw (in the tests): while the network reset one host's connections to servers, a request that its caller repeated there was blocked on every host for ten minutes; 64 arrivals refused after the resets had ended. Cause: counted each lost connection as a crash. Change: before a block a host dials the server that crashed last, and another one, which shows that its own paths work; a server that accepts the connection has not crashed. The simulated fleet resets paths; servers of the platform's fixture take half a second to start again, as a process does that ended. An expired block no longer hides later evidence.

--- a/packages/bench/src/__tests__/poisonRequests.test.ts
+++ b/packages/bench/src/__tests__/poisonRequests.test.ts
@@ -152,6 +152,22 @@
     expect(countLateArrivals(fleet)).to.be.at.most(maxLateArrivals);
   });
 
+  it('are not taken for a request of a host whose connections to servers are reset', () => {
+    const fleet = startFleet(hash, 6);
+    const resetId = fleet.hostId(7);
+    for (const {id} of fleet.servers.values()) {
+      fleet.resetPaths.add(`${resetId}>${id}`);
+    }
+    repeatRequest(fleet, undefined, resetId);
+    fleet.queue.runUntil(fleet.queue.nowMs + 3_000);
+    fleet.resetPaths.clear();
+    fleet.queue.runUntil(fleet.queue.nowMs + repeatedForMs);
+    const refusedAtOnce = fleet.outcomes.filter(
+      ({refusal, durationMs}) => refusal === 'request-crashes-servers' && durationMs === 0,
+    );
+    expect(refusedAtOnce).to.deep.equal([]);
+  });
+
   it('do not have an equal request of another customer refused', () => {
     const fleet = startFleet(hash, 4);
     repeatRequest(fleet, 'loud');
--- a/packages/bench/src/gray-failure/grayFailureFleet.ts
+++ b/packages/bench/src/gray-failure/grayFailureFleet.ts
@@ -151,6 +151,8 @@
   readonly network: SimulatedNetwork;
   /** Network paths on which no connection works, as `hostId>serverId`: it is refused, and a kept one is reset. */
   readonly refusedPaths = new Set<string>();
+  /** Network paths on which connections open, and are reset under each request, as `hostId>serverId`. */
+  readonly resetPaths = new Set<string>();
   /** Number of messages between hosts by type. */
   readonly peerMessageCounts = new Map<string, number>();
   /** The registry from which the hosts get the document and the servers. */
@@ -537,6 +539,10 @@
         }
         return;
       }
+      if (this.resetPaths.has(`${host.id}>${server.id}`)) {
+        breakOff();
+        return;
+      }
       const startTimesMs = this.attemptTimesMs.get(server.id) ?? [];
       startTimesMs.push(this.queue.nowMs);
       this.attemptTimesMs.set(server.id, startTimesMs);
--- a/packages/core/src/poison-requests/poisonRequestTask.ts
+++ b/packages/core/src/poison-requests/poisonRequestTask.ts
@@ -41,6 +41,9 @@
 /** Time for which successful responses to a suspect request are reported, in ms. */
 const suspectWatchMs = 60_000;
 
+/** Time after which a check of the last crash without a result is repeated, in ms. */
+const crashCheckMs = 1_000;
+
 /** A poison request that this host refuses. */
 interface BlockedRequest {
   readonly identity: RequestIdentity;
@@ -134,7 +137,7 @@
         this.#originById = new Map(message.servers.map(({id, origin}) => [id, origin]));
         return this.#confirmCrashes(message.lapsedServerIds, nowMs);
       case 'serverDialed':
-        return message.isConnected ? [] : this.#confirmCrashes([message.serverId], nowMs);
+        return this.#onDialed(message.serverId, message.isConnected, nowMs);
       case 'requestSucceeded':
         return this.#onSucceeded(message, nowMs);
       case 'peerMessageReceived':
@@ -201,7 +204,7 @@
   #onSucceeded(identity: RequestIdentity, nowMs: number): readonly CoreMessage[] {
     const key = requestKey(identity);
     this.#successes.record(key, nowMs);
-    return this.#watchedKeys.has(key, nowMs) || this.#blocked.has(key)
+    return this.#watchedKeys.has(key, nowMs) || this.#isBlocked(key, nowMs)
       ? this.#reportSuccess(identity)
       : [];
   }
@@ -255,7 +258,7 @@
   /** Dials the silent servers of a request that may have crashed too many, to see whether they still run. */
   #onSilenceSeen(silence: SilenceSeen, nowMs: number): readonly CoreMessage[] {
     const {serverId, ranForMs} = silence;
-    if (this.#blocked.has(requestKey(silence))) {
+    if (this.#isBlocked(requestKey(silence), nowMs)) {
       return [];
     }
     const suspect = this.#suspectOf(identityOf(silence), requestKey(silence));
@@ -299,11 +302,66 @@
     const fields = {...identity, crashes};
     const log: CoreMessage = {type: 'log', level: 'info', event: 'crash.counted', fields};
     if (crashes >= maxCrashes) {
-      return [log, ...this.#tellBlocked(suspect, nowMs)];
+      return [log, ...this.#checkLastCrash(suspect, nowMs)];
     }
     return crashes === maxCrashes - 1 ? [log, ...this.#watch(suspect, nowMs)] : [log];
   }
 
+  /**
+   * Dials the server that crashed last, and another one, before the request is blocked.
+   *
+   * Load pattern: the connections of one host are reset by its network. Its servers have not crashed.
+   */
+  #checkLastCrash(suspect: SuspectRequest, nowMs: number): readonly CoreMessage[] {
+    const {check, lastCrashedServerId: serverId = ''} = suspect;
+    const origin = this.#originById.get(serverId);
+    if (origin === undefined) {
+      return this.#tellBlocked(suspect, nowMs);
+    }
+    if (check !== undefined && nowMs - check.startedAtMs < crashCheckMs) {
+      return [];
+    }
+    const suspectIds = [
+      ...suspect.crashes.map((crash) => crash.serverId),
+      ...suspect.silentServerIds,
+    ];
+    const other = [...this.#originById].find(([otherId]) => !suspectIds.includes(otherId));
+    const isServerDown = false;
+    const isOtherServerReached = other === undefined;
+    suspect.check = {serverId, startedAtMs: nowMs, isServerDown, isOtherServerReached};
+    return [
+      ...(other === undefined
+        ? []
+        : [{type: 'dialServer', serverId: other[0], origin: other[1]} as const]),
+      {type: 'dialServer', serverId, origin},
+    ];
+  }
+
+  /** Applies the result of a connection that was opened to the requests whose servers are checked. */
+  #onDialed(serverId: string, isConnected: boolean, nowMs: number): readonly CoreMessage[] {
+    const messages: CoreMessage[] = [];
+    for (const suspect of this.#suspects.values()) {
+      const {check} = suspect;
+      if (check === undefined) {
+        continue;
+      }
+      if (check.serverId !== serverId) {
+        check.isOtherServerReached ||= isConnected;
+      } else if (isConnected) {
+        suspect.removeCrash(serverId);
+        suspect.check = undefined;
+        continue;
+      } else {
+        check.isServerDown = true;
+      }
+      if (check.isServerDown && check.isOtherServerReached) {
+        suspect.check = undefined;
+        messages.push(...this.#tellBlocked(suspect, nowMs));
+      }
+    }
+    return isConnected ? messages : [...messages, ...this.#confirmCrashes([serverId], nowMs)];
+  }
+
   /** Has every host report successful responses to a request. */
   #watch({identity, suspectedSinceMs}: SuspectRequest, nowMs: number): readonly CoreMessage[] {
     if (!this.#suspicionLimiter.tryAcquire(nowMs)) {
@@ -359,6 +417,10 @@
     ];
   }
 
+  #isBlocked(key: string, nowMs: number): boolean {
+    return (this.#blocked.get(key)?.untilMs ?? Number.NEGATIVE_INFINITY) > nowMs;
+  }
+
   #otherHostIds(): readonly string[] {
     return this.#hostIds.filter((hostId) => hostId !== this.#options.selfId);
   }
--- a/packages/core/src/poison-requests/suspectRequest.ts
+++ b/packages/core/src/poison-requests/suspectRequest.ts
@@ -12,6 +12,15 @@
 /** Time after its start in which a silent attempt is taken to have crashed its server, in ms. */
 const silentCrashMs = 250;
 
+/** A check whether the server that crashed last is down, by connections that are opened. */
+export interface CrashCheck {
+  readonly serverId: string;
+  readonly startedAtMs: number;
+  isServerDown: boolean;
+  /** True once another server was reached, so that the fault does not lie with the paths of this host. */
+  isOtherServerReached: boolean;
+}
+
 /** Number of attempts of which each started after the one before had ended. */
 function countSuccessive(attempts: readonly SuspectAttempt[]): number {
   const ordered = attempts.toSorted((one, other) => one.endedAtMs - other.endedAtMs);
@@ -38,6 +47,8 @@
   homeIds: readonly string[] = [];
   /** Silent servers to which a connection was tried, to see whether they crashed. */
   readonly dialedServerIds = new Set<string>();
+  /** The check that runs; undefined for none. */
+  check: CrashCheck | undefined;
   readonly #crashes = new Map<string, SuspectAttempt>();
   readonly #silences = new Map<string, SuspectAttempt>();
 
@@ -50,6 +61,11 @@
     return [...this.#crashes.values()];
   }
 
+  /** Server of the newest crash. */
+  get lastCrashedServerId(): string | undefined {
+    return this.crashes.toSorted((one, other) => other.endedAtMs - one.endedAtMs)[0]?.serverId;
+  }
+
   /** Servers that were silent to the request and are not known to have crashed. */
   get silentServerIds(): readonly string[] {
     return [...this.#silences.keys()];
@@ -96,6 +112,11 @@
     this.#silences.set(serverId, {serverId, startedAtMs, endedAtMs: crashedByMs});
   }
 
+  /** Drops the attempt on a server that has not crashed. */
+  removeCrash(serverId: string): void {
+    this.#crashes.delete(serverId);
+  }
+
   /** Counts the silence of a server as its crash; returns false where it was not silent to the request. */
   confirmCrash(serverId: string, keptFromMs: number): boolean {
     const silence = this.#silences.get(serverId);
