Only homes of a request have every host refuse it

What callers would see: a host with cut paths to some servers would have had every host refuse a request that failed only there. Cause: a host's own evidence, which it counts for the case that it reaches no peer, is less than what the homes get. Change: a host that is no home refuses the request itself, and asks nobody; homes go on to tell every host.

--- a/packages/core/src/poison-requests/poisonRequestTask.ts
+++ b/packages/core/src/poison-requests/poisonRequestTask.ts
@@ -185,7 +185,7 @@
     this.#homes.setHosts(live);
     const messages: CoreMessage[] = [];
     for (const [key, {identity, untilMs}] of this.#blocked) {
-      if (untilMs > nowMs && this.#homes.homesOf(key).includes(this.#options.selfId)) {
+      if (untilMs > nowMs && this.#isHome(key)) {
         messages.push(...this.#sendTo(newHostIds, this.#requestBlocked(identity, untilMs, nowMs)));
       }
     }
@@ -364,6 +364,9 @@
 
   /** Has every host report successful responses to a request. */
   #watch({identity, suspectedSinceMs}: SuspectRequest, nowMs: number): readonly CoreMessage[] {
+    if (!this.#isHome(requestKey(identity))) {
+      return [];
+    }
     if (!this.#suspicionLimiter.tryAcquire(nowMs)) {
       return [{type: 'count', name: 'crash.notTold', tags: {}}];
     }
@@ -371,19 +374,22 @@
     return this.#sendTo(this.#hostIds, {type: 'requestSuspected', ...identity, sinceAgoMs});
   }
 
-  /** Has every host refuse a request. */
+  /** Has every host refuse a request; only this one where it is no home of the request, as it sees less. */
   #tellBlocked({identity, crashCount}: SuspectRequest, nowMs: number): readonly CoreMessage[] {
-    if (!this.#blockLimiter.tryAcquire(nowMs)) {
+    const key = requestKey(identity);
+    const isHome = this.#isHome(key);
+    if (isHome && !this.#blockLimiter.tryAcquire(nowMs)) {
       return [{type: 'count', name: 'crash.notTold', tags: {}}];
     }
     const untilMs = nowMs + this.#options.suspicionLifetimeMs;
-    const fields = {...identity, crashes: crashCount};
-    this.#suspects.delete(requestKey(identity));
+    const fields = {...identity, crashes: crashCount, isHome};
+    const hostIds = isHome ? this.#otherHostIds() : [];
+    this.#suspects.delete(key);
     return [
       {type: 'log', level: 'warn', event: 'request.blocked', fields},
       {type: 'count', name: 'request.blocked', tags: {route: identity.routeId}},
       ...this.#block(identity, untilMs),
-      ...this.#sendTo(this.#otherHostIds(), this.#requestBlocked(identity, untilMs, nowMs)),
+      ...this.#sendTo(hostIds, this.#requestBlocked(identity, untilMs, nowMs)),
     ];
   }
 
@@ -409,14 +415,17 @@
     const wasWatched = this.#watchedKeys.has(key, nowMs);
     this.#watchedKeys.delete(key);
     const wasBlocked = this.#blocked.delete(key);
-    const isHome = this.#homes.homesOf(key).includes(this.#options.selfId);
-    const hostIds = isHome && (wasWatched || wasBlocked) ? this.#otherHostIds() : [];
+    const hostIds = this.#isHome(key) && (wasWatched || wasBlocked) ? this.#otherHostIds() : [];
     return [
       ...(wasBlocked ? [{type: 'poisonRequestCleared', ...identity} as const] : []),
       ...this.#sendTo(hostIds, {type: 'requestCleared', ...identity}),
     ];
   }
 
+  #isHome(key: string): boolean {
+    return this.#homes.homesOf(key).includes(this.#options.selfId);
+  }
+
   #isBlocked(key: string, nowMs: number): boolean {
     return (this.#blocked.get(key)?.untilMs ?? Number.NEGATIVE_INFINITY) > nowMs;
   }
