Blocks and checks of poison requests have classes of their own

Change: BlockedRequests holds the blocks, SuspectRequest the check of the last crash; behaviour as before. Measured: 30 tests of this and neighbouring files pass.

--- a/packages/core/src/poison-requests/poisonRequestTask.ts
+++ b/packages/core/src/poison-requests/poisonRequestTask.ts
@@ -4,6 +4,7 @@
 import type {LiveHost} from '../messages/hostMessages.ts';
 import type {CrashSeen, PeerMessage, SilenceSeen} from '../messages/peerMessages.ts';
 import {ExpiringKeySet} from '../request/expiringKeySet.ts';
+import {BlockedRequests} from './blockedRequests.ts';
 import {BroadcastLimiter} from './broadcastLimiter.ts';
 import {EvidenceHomes} from './evidenceHomes.ts';
 import {RecentSuccesses} from './recentSuccesses.ts';
@@ -41,15 +42,6 @@
 /** Time for which successful responses to a suspect request are reported, in ms. */
 const suspectWatchMs = 60_000;
 
-/** Time after which a check of the last crash without a result is repeated, in ms. */
-const crashCheckMs = 1_000;
-
-/** A poison request that this host refuses. */
-interface BlockedRequest {
-  readonly identity: RequestIdentity;
-  readonly untilMs: number;
-}
-
 /** Identifies a process of the fleet: a host that starts again has a new start time. */
 function processId({hostId, bornMs}: LiveHost): string {
   return `${hostId}#${bornMs}`;
@@ -78,7 +70,7 @@
   readonly #options: PoisonRequestOptions;
   readonly #homes: EvidenceHomes;
   readonly #suspects = new Map<string, SuspectRequest>();
-  readonly #blocked = new Map<string, BlockedRequest>();
+  readonly #blocked: BlockedRequests;
   /** Requests whose homes wait for a successful response on any host. */
   readonly #watchedKeys = new ExpiringKeySet();
   readonly #successes = new RecentSuccesses();
@@ -93,6 +85,7 @@
   ) {
     this.#options = {...DEFAULT_POISON_REQUEST_OPTIONS, ...options};
     this.#homes = new EvidenceHomes(options.hash);
+    this.#blocked = new BlockedRequests(this.#options.maxSuspects);
     this.#suspicionLimiter = new BroadcastLimiter(this.#options.maxBroadcastsPerSecond);
     this.#blockLimiter = new BroadcastLimiter(this.#options.maxBroadcastsPerSecond);
   }
@@ -184,8 +177,8 @@
     this.#hostIds = hostIds;
     this.#homes.setHosts(live);
     const messages: CoreMessage[] = [];
-    for (const [key, {identity, untilMs}] of this.#blocked) {
-      if (untilMs > nowMs && this.#isHome(key)) {
+    for (const {identity, untilMs} of this.#blocked.list(nowMs)) {
+      if (this.#isHome(requestKey(identity))) {
         messages.push(...this.#sendTo(newHostIds, this.#requestBlocked(identity, untilMs, nowMs)));
       }
     }
@@ -204,7 +197,7 @@
   #onSucceeded(identity: RequestIdentity, nowMs: number): readonly CoreMessage[] {
     const key = requestKey(identity);
     this.#successes.record(key, nowMs);
-    return this.#watchedKeys.has(key, nowMs) || this.#isBlocked(key, nowMs)
+    return this.#watchedKeys.has(key, nowMs) || this.#blocked.find(key, nowMs) !== undefined
       ? this.#reportSuccess(identity)
       : [];
   }
@@ -241,8 +234,8 @@
   #onCrashSeen(fromHostId: string, crash: CrashSeen, nowMs: number): readonly CoreMessage[] {
     const identity = identityOf(crash);
     const key = requestKey(identity);
-    const blocked = this.#blocked.get(key);
-    if (blocked !== undefined && blocked.untilMs > nowMs) {
+    const blocked = this.#blocked.find(key, nowMs);
+    if (blocked !== undefined) {
       // The reporter did not know of the block, for example because it has just started.
       return this.#sendTo([fromHostId], this.#requestBlocked(identity, blocked.untilMs, nowMs));
     }
@@ -258,7 +251,7 @@
   /** Dials the silent servers of a request that may have crashed too many, to see whether they still run. */
   #onSilenceSeen(silence: SilenceSeen, nowMs: number): readonly CoreMessage[] {
     const {serverId, ranForMs} = silence;
-    if (this.#isBlocked(requestKey(silence), nowMs)) {
+    if (this.#blocked.find(requestKey(silence), nowMs) !== undefined) {
       return [];
     }
     const suspect = this.#suspectOf(identityOf(silence), requestKey(silence));
@@ -267,15 +260,10 @@
     if (suspect.possibleCrashCount < this.#options.maxCrashes) {
       return [];
     }
-    const messages: CoreMessage[] = [];
-    for (const silentServerId of suspect.silentServerIds) {
-      const origin = this.#originById.get(silentServerId);
-      if (origin !== undefined && !suspect.dialedServerIds.has(silentServerId)) {
-        suspect.dialedServerIds.add(silentServerId);
-        messages.push({type: 'dialServer', serverId: silentServerId, origin});
-      }
-    }
-    return messages.length === 0 ? [] : [...this.#watch(suspect, nowMs), ...messages];
+    const newlyDialedIds = suspect.takeUndialedSilentServers();
+    return newlyDialedIds.length === 0
+      ? []
+      : [...this.#watch(suspect, nowMs), ...newlyDialedIds.flatMap((id) => this.#dial(id))];
   }
 
   /** Counts the silences of servers as crashes, once these are known to be down. */
@@ -313,49 +301,26 @@
    * Load pattern: the connections of one host are reset by its network. Its servers have not crashed.
    */
   #checkLastCrash(suspect: SuspectRequest, nowMs: number): readonly CoreMessage[] {
-    const {check, lastCrashedServerId: serverId = ''} = suspect;
-    const origin = this.#originById.get(serverId);
-    if (origin === undefined) {
+    const {lastCrashedServerId = ''} = suspect;
+    if (!this.#originById.has(lastCrashedServerId)) {
       return this.#tellBlocked(suspect, nowMs);
     }
-    if (check !== undefined && nowMs - check.startedAtMs < crashCheckMs) {
-      return [];
-    }
-    const suspectIds = [
-      ...suspect.crashes.map((crash) => crash.serverId),
-      ...suspect.silentServerIds,
-    ];
-    const other = [...this.#originById].find(([otherId]) => !suspectIds.includes(otherId));
-    const isServerDown = false;
-    const isOtherServerReached = other === undefined;
-    suspect.check = {serverId, startedAtMs: nowMs, isServerDown, isOtherServerReached};
-    return [
-      ...(other === undefined
-        ? []
-        : [{type: 'dialServer', serverId: other[0], origin: other[1]} as const]),
-      {type: 'dialServer', serverId, origin},
-    ];
+    const otherServerId = [...this.#originById.keys()].find((id) => !suspect.isSuspectServer(id));
+    return suspect.startCheck(otherServerId !== undefined, nowMs)
+      ? [...this.#dial(otherServerId), ...this.#dial(lastCrashedServerId)]
+      : [];
+  }
+
+  #dial(serverId = ''): readonly CoreMessage[] {
+    const origin = this.#originById.get(serverId);
+    return origin === undefined ? [] : [{type: 'dialServer', serverId, origin}];
   }
 
   /** Applies the result of a connection that was opened to the requests whose servers are checked. */
   #onDialed(serverId: string, isConnected: boolean, nowMs: number): readonly CoreMessage[] {
     const messages: CoreMessage[] = [];
     for (const suspect of this.#suspects.values()) {
-      const {check} = suspect;
-      if (check === undefined) {
-        continue;
-      }
-      if (check.serverId !== serverId) {
-        check.isOtherServerReached ||= isConnected;
-      } else if (isConnected) {
-        suspect.removeCrash(serverId);
-        suspect.check = undefined;
-        continue;
-      } else {
-        check.isServerDown = true;
-      }
-      if (check.isServerDown && check.isOtherServerReached) {
-        suspect.check = undefined;
+      if (suspect.recordDial(serverId, isConnected)) {
         messages.push(...this.#tellBlocked(suspect, nowMs));
       }
     }
@@ -399,12 +364,8 @@
 
   /** Refuses a request on this host from now on. */
   #block(message: RequestIdentity, untilMs: number): readonly CoreMessage[] {
-    const identity = identityOf(message);
-    const key = requestKey(identity);
-    this.#blocked.delete(key);
-    this.#blocked.set(key, {identity, untilMs});
-    this.#dropOldest(this.#blocked);
-    return [{type: 'poisonRequestBlocked', ...identity, untilMs}];
+    this.#blocked.add(message, untilMs);
+    return [{type: 'poisonRequestBlocked', ...identityOf(message), untilMs}];
   }
 
   /** Forgets the evidence against a request that succeeded; a home tells every host that knows of it. */
@@ -426,10 +387,6 @@
     return this.#homes.homesOf(key).includes(this.#options.selfId);
   }
 
-  #isBlocked(key: string, nowMs: number): boolean {
-    return (this.#blocked.get(key)?.untilMs ?? Number.NEGATIVE_INFINITY) > nowMs;
-  }
-
   #otherHostIds(): readonly string[] {
     return this.#hostIds.filter((hostId) => hostId !== this.#options.selfId);
   }
@@ -441,17 +398,17 @@
       suspect = new SuspectRequest(identity);
       suspect.homeIds = this.#homes.homesOf(key);
       this.#suspects.set(key, suspect);
-      this.#dropOldest(this.#suspects);
+      this.#dropOldestSuspects();
     }
     return suspect;
   }
 
-  #dropOldest(requests: Map<string, unknown>): void {
-    for (const oldest of requests.keys()) {
-      if (requests.size <= this.#options.maxSuspects) {
+  #dropOldestSuspects(): void {
+    for (const oldest of this.#suspects.keys()) {
+      if (this.#suspects.size <= this.#options.maxSuspects) {
         return;
       }
-      requests.delete(oldest);
+      this.#suspects.delete(oldest);
     }
   }
 }
--- a/packages/core/src/poison-requests/suspectRequest.ts
+++ b/packages/core/src/poison-requests/suspectRequest.ts
@@ -12,8 +12,11 @@
 /** Time after its start in which a silent attempt is taken to have crashed its server, in ms. */
 const silentCrashMs = 250;
 
+/** Time after which a check of the last crash that had no result is repeated, in ms. */
+const crashCheckMs = 1_000;
+
 /** A check whether the server that crashed last is down, by connections that are opened. */
-export interface CrashCheck {
+interface CrashCheck {
   readonly serverId: string;
   readonly startedAtMs: number;
   isServerDown: boolean;
@@ -45,12 +48,12 @@
   readonly identity: RequestIdentity;
   /** Hosts that have the evidence. */
   homeIds: readonly string[] = [];
-  /** Silent servers to which a connection was tried, to see whether they crashed. */
-  readonly dialedServerIds = new Set<string>();
-  /** The check that runs; undefined for none. */
-  check: CrashCheck | undefined;
   readonly #crashes = new Map<string, SuspectAttempt>();
   readonly #silences = new Map<string, SuspectAttempt>();
+  /** Silent servers to which a connection was tried, to see whether they crashed. */
+  readonly #dialedServerIds = new Set<string>();
+  /** The check that runs; undefined for none. */
+  #check: CrashCheck | undefined;
 
   constructor(identity: RequestIdentity) {
     this.identity = identity;
@@ -66,11 +69,6 @@
     return this.crashes.toSorted((one, other) => other.endedAtMs - one.endedAtMs)[0]?.serverId;
   }
 
-  /** Servers that were silent to the request and are not known to have crashed. */
-  get silentServerIds(): readonly string[] {
-    return [...this.#silences.keys()];
-  }
-
   /** Start of the first attempt, in ms. */
   get suspectedSinceMs(): number {
     const attempts = [...this.#crashes.values(), ...this.#silences.values()];
@@ -112,9 +110,57 @@
     this.#silences.set(serverId, {serverId, startedAtMs, endedAtMs: crashedByMs});
   }
 
-  /** Drops the attempt on a server that has not crashed. */
-  removeCrash(serverId: string): void {
-    this.#crashes.delete(serverId);
+  /** True where the request is suspected to have crashed a server. */
+  isSuspectServer(serverId: string): boolean {
+    return this.#crashes.has(serverId) || this.#silences.has(serverId);
+  }
+
+  /** Servers that were silent to the request since this was asked last, to be dialed once. */
+  takeUndialedSilentServers(): readonly string[] {
+    const serverIds = [...this.#silences.keys()].filter((id) => !this.#dialedServerIds.has(id));
+    for (const serverId of serverIds) {
+      this.#dialedServerIds.add(serverId);
+    }
+    return serverIds;
+  }
+
+  /** Starts to check whether the server that crashed last is down; returns false while an earlier check runs. */
+  startCheck(hasOtherServer: boolean, nowMs: number): boolean {
+    const serverId = this.lastCrashedServerId;
+    const isRunning = this.#check !== undefined && nowMs - this.#check.startedAtMs < crashCheckMs;
+    if (serverId === undefined || isRunning) {
+      return false;
+    }
+    this.#check = {
+      serverId,
+      startedAtMs: nowMs,
+      isServerDown: false,
+      isOtherServerReached: !hasOtherServer,
+    };
+    return true;
+  }
+
+  /**
+   * Applies the result of a connection to a server; returns true where that completes the check, as the server is
+   * down while another one can be reached.
+   */
+  recordDial(serverId: string, isConnected: boolean): boolean {
+    const check = this.#check;
+    if (check === undefined) {
+      return false;
+    }
+    if (check.serverId !== serverId) {
+      check.isOtherServerReached ||= isConnected;
+    } else if (isConnected) {
+      this.#crashes.delete(serverId);
+      this.#check = undefined;
+      return false;
+    } else {
+      check.isServerDown = true;
+    }
+    const isComplete = check.isServerDown && check.isOtherServerReached;
+    this.#check = isComplete ? undefined : check;
+    return isComplete;
   }
 
   /** Counts the silence of a server as its crash; returns false where it was not silent to the request. */
