A check before a block compares with three other servers

Cause: one server that is down as well would leave the check without a result. Change: three servers are dialed beside the one that crashed last; the two kinds of host lists are read in one line each.

--- a/packages/core/src/poison-requests/poisonRequestTask.ts
+++ b/packages/core/src/poison-requests/poisonRequestTask.ts
@@ -42,6 +42,14 @@
 /** Time for which successful responses to a suspect request are reported, in ms. */
 const suspectWatchMs = 60_000;
 
+/** Servers that are dialed beside one that may have crashed, to see whether this host reaches any. */
+const comparedServers = 3;
+
+/** A host of a published list, which does not tell when its process started. */
+function hostOfList(hostId: string): LiveHost {
+  return {hostId, dataCentre: '', bornMs: 0, capacityClass: 0};
+}
+
 /** Identifies a process of the fleet: a host that starts again has a new start time. */
 function processId({hostId, bornMs}: LiveHost): string {
   return `${hostId}#${bornMs}`;
@@ -92,25 +100,12 @@
 
   receive(message: CoreMessage, nowMs: number): readonly CoreMessage[] {
     switch (message.type) {
-      case 'membershipChanged': {
-        const live = message.reachableHostIds.map((hostId) => ({
-          hostId,
-          dataCentre: '',
-          bornMs: 0,
-          capacityClass: 0,
-        }));
-        return this.#onHosts(
-          live,
-          message.list.hosts.map(({id}) => id),
-          nowMs,
-        );
-      }
+      case 'membershipChanged':
+        this.#hostIds = message.list.hosts.map(({id}) => id);
+        return this.#onHosts(message.reachableHostIds.map(hostOfList), nowMs);
       case 'rosterChanged':
-        return this.#onHosts(
-          message.live,
-          message.live.map(({hostId}) => hostId),
-          nowMs,
-        );
+        this.#hostIds = message.live.map(({hostId}) => hostId);
+        return this.#onHosts(message.live, nowMs);
       case 'crashObserved': {
         const {serverId, ranForMs} = message;
         const crash = {serverId, startedAtMs: nowMs - ranForMs, endedAtMs: nowMs};
@@ -164,17 +159,12 @@
     return hostIds.map((toHostId) => ({type: 'sendToPeer', toHostId, message}));
   }
 
-  /** Hands what this host knows to hosts that are new, and the evidence to homes that are new. */
-  #onHosts(
-    live: readonly LiveHost[],
-    hostIds: readonly string[],
-    nowMs: number,
-  ): readonly CoreMessage[] {
+  /** Hands the blocks that this host knows to hosts that are new, and the evidence to homes that are new. */
+  #onHosts(live: readonly LiveHost[], nowMs: number): readonly CoreMessage[] {
     const newHostIds = live
       .filter((host) => !this.#processIds.has(processId(host)))
       .map(({hostId}) => hostId);
     this.#processIds = new Set(live.map(processId));
-    this.#hostIds = hostIds;
     this.#homes.setHosts(live);
     const messages: CoreMessage[] = [];
     for (const {identity, untilMs} of this.#blocked.list(nowMs)) {
@@ -296,7 +286,7 @@
   }
 
   /**
-   * Dials the server that crashed last, and another one, before the request is blocked.
+   * Dials the server that crashed last, and some others, before the request is blocked.
    *
    * Load pattern: the connections of one host are reset by its network. Its servers have not crashed.
    */
@@ -305,13 +295,15 @@
     if (!this.#originById.has(lastCrashedServerId)) {
       return this.#tellBlocked(suspect, nowMs);
     }
-    const otherServerId = [...this.#originById.keys()].find((id) => !suspect.isSuspectServer(id));
-    return suspect.startCheck(otherServerId !== undefined, nowMs)
-      ? [...this.#dial(otherServerId), ...this.#dial(lastCrashedServerId)]
+    const otherServerIds = [...this.#originById.keys()]
+      .filter((serverId) => !suspect.isSuspectServer(serverId))
+      .slice(0, comparedServers);
+    return suspect.startCheck(otherServerIds.length > 0, nowMs)
+      ? [...otherServerIds, lastCrashedServerId].flatMap((serverId) => this.#dial(serverId))
       : [];
   }
 
-  #dial(serverId = ''): readonly CoreMessage[] {
+  #dial(serverId: string): readonly CoreMessage[] {
     const origin = this.#originById.get(serverId);
     return origin === undefined ? [] : [{type: 'dialServer', serverId, origin}];
   }
