A relayed attempt ends early at interim responses without end

What callers saw: 504 at the timeout of the route, where a host that sends the attempt itself answers 502 at once. Change: one limit for both, limitInterimResponses. Measured: the new test fails before (no end within 5 s) and passes now, with the others of its file and of faultyServers.test.ts.

--- a/packages/proxy/src/__tests__/attemptRelayTask.test.ts
+++ b/packages/proxy/src/__tests__/attemptRelayTask.test.ts
@@ -141,6 +141,18 @@
     }
   });
 
+  it('ends an attempt early whose server sends interim responses without end', async () => {
+    let timer: NodeJS.Timeout | undefined;
+    onRequest = (_incoming, outgoing) => {
+      timer = setInterval(() => {
+        outgoing.socket?.write('HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n');
+      }, 5);
+    };
+    const result = await run();
+    clearInterval(timer);
+    expect(result).to.deep.equal({failure: 'lost', mayHaveRun: true});
+  });
+
   it('counts as not sent where the relaying host does not answer', async () => {
     const result = await run({relayHostId: '127.54.1.9'});
     expect(result).to.deep.equal({failure: 'relay', mayHaveRun: false});
--- a/packages/proxy/src/attempt-relay/attemptRelayTask.ts
+++ b/packages/proxy/src/attempt-relay/attemptRelayTask.ts
@@ -5,10 +5,11 @@
 import type {Dispatcher} from 'undici';
 import {bufferResponse} from '../backends/bufferResponse.ts';
 import {endByClose, endsByClose} from '../backends/endsByClose.ts';
+import {limitInterimResponses, maxInterimResponses} from '../backends/limitInterimResponses.ts';
 import {RepeatedResponseDetector} from '../backends/repeatedResponseDetector.ts';
 import {ServerConnectionPool, recordAttempt} from '../backends/serverConnectionPool.ts';
 import {endToEndHeaders} from '../callers/headers.ts';
-import {RepeatedResponseError} from '../errors/hostErrors.ts';
+import {InterimResponsesError, RepeatedResponseError} from '../errors/hostErrors.ts';
 import type {HttpDialect} from '../dialect/httpDialect.ts';
 import {drainServer} from '../task/drainServer.ts';
 import {listenOn} from '../task/listenOn.ts';
@@ -160,6 +161,9 @@
         signal: controller.signal,
         // The host that placed the attempt enforces its timeout.
         headersTimeout: 0,
+        onInfo: limitInterimResponses(() => {
+          controller.abort(new InterimResponsesError(`more than ${maxInterimResponses} of them`));
+        }),
       });
       const notice = dialect.serverNotice(response.statusCode, response.headers);
       postToCore({type: 'serverNoticed', serverId, notice});
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -16,6 +16,7 @@
 import {relayNotSentHeader, relayServerHeader} from '../attempt-relay/relayHeaders.ts';
 import {bufferResponse} from './bufferResponse.ts';
 import {endsByClose} from './endsByClose.ts';
+import {limitInterimResponses, maxInterimResponses} from './limitInterimResponses.ts';
 import {RepeatedResponseDetector} from './repeatedResponseDetector.ts';
 import {ServerConnectionPool, dialTcp, recordAttempt} from './serverConnectionPool.ts';
 import type {Dial, ServerConnection} from './serverConnectionPool.ts';
@@ -68,9 +69,6 @@
   keyof typeof DEFAULT_BACKEND_TASK_OPTIONS
 >;
 
-/** Interim responses (1xx) to one request above which the server counts as faulty. */
-const maxInterimResponses = 16;
-
 /** Code of a system or library error; empty where it has none. */
 function errorCode(error: unknown): string {
   return error instanceof Error && 'code' in error ? String(error.code) : '';
@@ -197,7 +195,6 @@
     recordAttempt(connection, run.attemptName);
     this.#options.count(connection.hasConnected ? 'server.reused' : 'server.connected');
     this.#reportIdleConnections();
-    let interimResponses = 0;
     try {
       const response = await connection.client.request({
         method: run.method as 'GET',
@@ -207,12 +204,9 @@
         signal: controller.signal,
         // The core enforces the timeouts of attempts; the library's timer may fire half a second early.
         headersTimeout: 0,
-        onInfo: () => {
-          interimResponses += 1;
-          if (interimResponses > maxInterimResponses) {
-            this.#failForInterimResponses(run, controller);
-          }
-        },
+        onInfo: limitInterimResponses(() => {
+          this.#failForInterimResponses(run, controller);
+        }),
       });
       const {dialect} = this.#options;
       const {statusCode, headers} = response;
