Logs and metrics tell how a response ended

Change: request.delivering names framing and, where known, the size; response.incomplete names failure and reason, also of a response that breaks off while it is delivered; a counter by framing. No logic changes.

--- a/packages/cli/src/requestTimeline.ts
+++ b/packages/cli/src/requestTimeline.ts
@@ -68,7 +68,11 @@
     `${field(line, 'outcome')} after ${field(line, 'ranForMs')} ms`,
   'request.delivering': (line) =>
     `response ${field(line, 'status')} of ${field(line, 'serverId')} is sent to the caller, ` +
-    `${field(line, 'totalMs')} ms after arrival`,
+    `${field(line, 'totalMs')} ms after arrival; its server marks the end by ${field(line, 'framing')}`,
+  'response.incomplete': (line) =>
+    `response to attempt ${field(line, 'attempt')} of ${field(line, 'serverId')} is not complete: ` +
+    `${field(line, 'failure')} (${field(line, 'reason')}) in phase ${field(line, 'phase')} after ` +
+    `${field(line, 'ranForMs')} ms`,
   'request.refused': (line) =>
     `refused as ${field(line, 'kind')} (${field(line, 'outcome')}) in phase ` +
     `${field(line, 'phase')}, ${field(line, 'afterMs')} ms after arrival`,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,12 +19,15 @@
 export type {StoredResponse, PeerMessage} from './messages/peerMessages.ts';
 export type {
   AttemptFailure,
+  FailureReason,
   HeadScreened,
   RefuseRequest,
   RequestArrived,
   StartAttempt,
 } from './messages/requestMessages.ts';
 export type {ServerNotice} from './messages/serverNotice.ts';
+export {bodyFramingSchema} from './responses/bodyFraming.ts';
+export type {BodyFraming} from './responses/bodyFraming.ts';
 export type {SendProbe} from './messages/hostMessages.ts';
 export type {DialServer} from './messages/requestMessages.ts';
 export {responseTable} from './errors/responseTable.ts';
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -3,6 +3,7 @@
 import {storedResponseSchema} from './peerMessages.ts';
 import {attemptOutcomeSchema} from './attemptOutcome.ts';
 import {serverNoticeSchema} from './serverNotice.ts';
+import {bodyFramingSchema} from '../responses/bodyFraming.ts';
 import {requestIdentitySchema} from '../poison-requests/requestIdentity.ts';
 
 const requestIdSchema = z.number().int();
@@ -61,6 +62,10 @@
   reportsNotRun: z.boolean(),
   /** Whether a server other than the intended one answered at the address. */
   isMisdirected: z.boolean().optional(),
+  /** How the server marks the end of the body; absent where the front end does not tell. */
+  framing: bodyFramingSchema.optional(),
+  /** Size of the body, in bytes; absent where it was not read to its end yet. */
+  bodyBytes: z.number().int().optional(),
 });
 
 /** A backend server responded; reports what it states about itself, at the head of the response. */
@@ -83,12 +88,26 @@
   'body-limit',
 ]);
 
+/** What was wrong with a response that was not complete, for the logs. */
+export const failureReasonSchema = z.enum([
+  'reset',
+  'repeated',
+  'foreign',
+  'unsigned',
+  'interim',
+  'protocol',
+  'undeclared-too-large',
+  'memory',
+]);
+
 /** An attempt ended without a complete response. */
 export const attemptFailedSchema = z.object({
   type: z.literal('attemptFailed'),
   requestId: requestIdSchema,
   attempt: z.number().int(),
   failure: attemptFailureSchema,
+  /** What was wrong with the response; absent where there was none, or where it just broke off. */
+  reason: failureReasonSchema.optional(),
   /** False only if no byte of the request can have reached the server. */
   mayHaveRun: z.boolean(),
 });
@@ -389,7 +408,10 @@
 export type HeadArrived = z.infer<typeof headArrivedSchema>;
 export type HeadScreened = z.infer<typeof headScreenedSchema>;
 export type RequestArrived = z.infer<typeof requestArrivedSchema>;
+export type AttemptAnswered = z.infer<typeof attemptAnsweredSchema>;
+export type AttemptFailed = z.infer<typeof attemptFailedSchema>;
 export type AttemptFailure = z.infer<typeof attemptFailureSchema>;
+export type FailureReason = z.infer<typeof failureReasonSchema>;
 export type ServerNoticed = z.infer<typeof serverNoticedSchema>;
 export type ServerReleased = z.infer<typeof serverReleasedSchema>;
 export type ServerLimits = z.infer<typeof serverLimitsSchema>;
--- a/packages/core/src/request/requestReport.ts
+++ b/packages/core/src/request/requestReport.ts
@@ -1,7 +1,12 @@
 import {responseTable} from '../errors/responseTable.ts';
 import type {ErrorKind, Outcome} from '../errors/errorKinds.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
-import type {RequestArrived, StartAttempt} from '../messages/requestMessages.ts';
+import type {
+  AttemptAnswered,
+  AttemptFailed,
+  RequestArrived,
+  StartAttempt,
+} from '../messages/requestMessages.ts';
 import type {AttemptOutcome} from '../messages/attemptOutcome.ts';
 import type {AttemptState, RequestState} from './requestState.ts';
 
@@ -105,7 +110,7 @@
 export function reportDelivering(
   request: RequestState,
   {attempt, serverId, headLatencyMs, isHedge}: AttemptState,
-  status: number,
+  {status, framing, bodyBytes}: AttemptAnswered,
   nowMs: number,
 ): CoreMessage {
   const fields = {
@@ -115,6 +120,8 @@
     attempt,
     serverId,
     status,
+    framing,
+    bodyBytes,
     isHedge,
     latencyMs: Math.round(headLatencyMs ?? 0),
     totalMs: Math.round(nowMs - request.arrivedAtMs),
@@ -123,6 +130,21 @@
   return {type: 'log', level, event: 'request.delivering', fields};
 }
 
+/** Logs a response that is not complete: one that breaks off while it is delivered, or in which something is wrong. */
+export function reportIncompleteResponse(
+  {requestName, phase}: RequestState,
+  {attempt, serverId, startedAtMs, relayHostId}: AttemptState,
+  {failure, reason}: AttemptFailed,
+  nowMs: number,
+): readonly CoreMessage[] {
+  if (reason === undefined && phase !== 'delivering') {
+    return [];
+  }
+  const ranForMs = Math.round(nowMs - startedAtMs);
+  const fields = {requestName, attempt, serverId, relayHostId, phase, failure, reason, ranForMs};
+  return [{type: 'log', level: 'warn', event: 'response.incomplete', fields}];
+}
+
 /** Reports the end of a request whose response from a server was delivered: a count and two durations. */
 export function reportAnswered(
   request: RequestState,
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -5,7 +5,12 @@
 import type {CoreMessage} from '../messages/coreMessage.ts';
 import type {ShutdownAnnounced} from '../messages/hostMessages.ts';
 import type {StoredResponse} from '../messages/peerMessages.ts';
-import type {AttemptFailure, HeadArrived, RequestArrived} from '../messages/requestMessages.ts';
+import type {
+  AttemptAnswered,
+  AttemptFailed,
+  HeadArrived,
+  RequestArrived,
+} from '../messages/requestMessages.ts';
 import {screenHead} from '../intake/screenHead.ts';
 import type {ScreeningContext} from '../intake/screenHead.ts';
 import type {AttemptOutcome} from '../messages/attemptOutcome.ts';
@@ -32,6 +37,7 @@
   reportAttemptFailed,
   reportCallerLeft,
   reportDelivering,
+  reportIncompleteResponse,
   reportNotAdmitted,
   reportRefused,
   reportStarted,
@@ -424,12 +430,7 @@
 
   #onAttemptAnswered(
     request: RequestState,
-    message: {
-      attempt: number;
-      status: number;
-      reportsNotRun: boolean;
-      isMisdirected?: boolean | undefined;
-    },
+    message: AttemptAnswered,
     nowMs: number,
   ): readonly CoreMessage[] {
     const running = request.running.get(message.attempt);
@@ -454,15 +455,16 @@
         );
       }
     }
-    return this.#deliverResponse(request, running, message.status, nowMs);
+    return this.#deliverResponse(request, running, message, nowMs);
   }
 
   #deliverResponse(
     request: RequestState,
     running: AttemptState,
-    status: number,
+    answered: AttemptAnswered,
     nowMs: number,
   ): readonly CoreMessage[] {
+    const {status} = answered;
     const {requestId} = request;
     const {attempt} = running;
     request.phase = 'delivering';
@@ -473,7 +475,7 @@
       ...cancelOtherAttempts(request, attempt, nowMs),
       ...(request.isHedgeRequested ? withdrawRequest(request) : []),
       {type: 'deliverAnswer', requestId, attempt},
-      reportDelivering(request, running, status, nowMs),
+      reportDelivering(request, running, answered, nowMs),
     ];
     request.isHedgeRequested = false;
     const isFailure = request.serverFailure !== undefined;
@@ -482,13 +484,23 @@
 
   #onAttemptFailed(
     request: RequestState,
-    message: {attempt: number; failure: AttemptFailure; mayHaveRun: boolean},
+    message: AttemptFailed,
     nowMs: number,
   ): readonly CoreMessage[] {
     const running = request.running.get(message.attempt);
     if (running === undefined) {
       return [];
     }
+    const report = reportIncompleteResponse(request, running, message, nowMs);
+    return [...report, ...this.#continueAfterFailure(request, running, message, nowMs)];
+  }
+
+  #continueAfterFailure(
+    request: RequestState,
+    running: AttemptState,
+    message: AttemptFailed,
+    nowMs: number,
+  ): readonly CoreMessage[] {
     const outcome = outcomeByFailure[message.failure];
     if (request.phase === 'delivering') {
       return this.#endRequest(request, outcome, nowMs);
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -1,4 +1,4 @@
-import type {AttemptFailure, HostEvent, SendProbe} from '@godwitspring/core';
+import type {AttemptFailure, FailureReason, HostEvent, SendProbe} from '@godwitspring/core';
 import {errors} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {PendingResponse} from '../callers/exchange.ts';
@@ -15,7 +15,9 @@
 import type {BackendCommand, RunAttempt} from './backendMessages.ts';
 import {relayNotSentHeader, relayServerHeader} from '../attempt-relay/relayHeaders.ts';
 import {bufferResponse} from './bufferResponse.ts';
+import {bodyFramingOf} from './bodyFramingOf.ts';
 import {endsByClose} from './endsByClose.ts';
+import {errorCode, failureReasonOf} from './failureReasonOf.ts';
 import {limitInterimResponses, maxInterimResponses} from './limitInterimResponses.ts';
 import {RepeatedResponseDetector} from './repeatedResponseDetector.ts';
 import {ServerConnectionPool, dialTcp, recordAttempt} from './serverConnectionPool.ts';
@@ -69,11 +71,6 @@
   keyof typeof DEFAULT_BACKEND_TASK_OPTIONS
 >;
 
-/** Code of a system or library error; empty where it has none. */
-function errorCode(error: unknown): string {
-  return error instanceof Error && 'code' in error ? String(error.code) : '';
-}
-
 /**
  * Classifies the error that ended an attempt. Only where the connection was never established is it sure that
  * the request did not run.
@@ -235,7 +232,8 @@
       }
       if (!controller.signal.aborted) {
         const failed = classifyFailure(error, connection, run);
-        this.#options.postToCore({type: 'attemptFailed', requestId, attempt, ...failed});
+        const reason = failureReasonOf(error);
+        this.#options.postToCore({type: 'attemptFailed', requestId, attempt, ...failed, reason});
       }
     }
   }
@@ -250,7 +248,7 @@
   }
 
   /** Counts a response that is not passed on, and reports its attempt to the core as failed. */
-  #reportMalformed({requestId, attempt}: RunAttempt, reason: string): void {
+  #reportMalformed({requestId, attempt}: RunAttempt, reason: FailureReason): void {
     const {count, postToCore} = this.#options;
     count('server.malformed', {reason});
     postToCore({
@@ -258,6 +256,7 @@
       requestId,
       attempt,
       failure: 'malformed',
+      reason,
       mayHaveRun: true,
     });
   }
@@ -322,6 +321,8 @@
       endsByClose: endsByClose(response, buffered),
     });
     const {reportsNotRun, isMisdirected} = classification;
+    const framing = bodyFramingOf({method: run.method, ...response});
+    this.#options.count('server.response', {framing});
     this.#options.postToCore({
       type: 'attemptAnswered',
       requestId,
@@ -329,6 +330,8 @@
       status,
       reportsNotRun,
       isMisdirected,
+      framing,
+      bodyBytes: buffered.wholeBytes,
     });
   }
 
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -18,6 +18,7 @@
 import {Hono} from 'hono';
 import type {BackendCommand} from '../backends/backendMessages.ts';
 import {endByClose} from '../backends/endsByClose.ts';
+import {failureReasonOf} from '../backends/failureReasonOf.ts';
 import {Mailbox} from '../task/mailbox.ts';
 import type {TimerService} from '../timer/timerService.ts';
 import {ResponseRecorder} from './responseRecorder.ts';
@@ -447,7 +448,7 @@
         attempt,
         answer: recorder.answer,
       });
-    } catch {
+    } catch (error) {
       this.#exchanges.delete(requestId);
       outgoing.destroy();
       this.#options.count('caller.answerBroken');
@@ -456,6 +457,7 @@
         requestId,
         attempt,
         failure: 'lost',
+        reason: failureReasonOf(error),
         mayHaveRun: true,
       });
     }
