A reset that is read together with the last bytes is no end of a response

What callers saw: a success with a part of the body, in chunks above 16,384 bytes and to the close below. Cause: hosts noticed the reset of a connection by the error event of its socket. Where the reset is in the socket before the last bytes are read, the event loop library reports the end of the stream after a partial read and never the error (busy hosts read late, so they see it most); of bytes beyond 128,000 the rest is lost with it. Change: at the end of the stream a socket that has no peer any more counts as reset; after an orderly close it still has one.

--- a/packages/proxy/src/backends/serverConnectionPool.ts
+++ b/packages/proxy/src/backends/serverConnectionPool.ts
@@ -246,6 +246,12 @@
       onDialed(true);
       callback(null, socket);
     });
+    socket.on('end', () => {
+      // A reset that is read together with the last bytes is reported as an end, but the socket has no peer any more.
+      if (socket.remoteAddress === undefined) {
+        onReset();
+      }
+    });
     socket.on('error', (failure: NodeJS.ErrnoException) => {
       timeout.cancel();
       if (!isOpen) {
