A host declares the end of a response only where its server did

Cause: a response that ends with its connection went on in chunks above 16,384 bytes, and the host sent the last chunk when the server closed its connection, whatever the reason was. A relaying host did the same for the host of the caller, any transfer coding counted as chunks, and a stored response was replayed with a declared end. Evidence: two tests failed, from 16,385 bytes on and with 'transfer-encoding: identity' from 0 bytes on. Change: one module of the core judges what is known of an end (declared, undeclared, incomplete) and chooses the framing towards the receiver. An undeclared end is passed on as a close. As a close of the host would look the same, such a body is read completely first, up to 1 MiB; a larger one, as of bytes without end, is refused with 502 and its connection closed. Relaying hosts send chunks, so that their own break shows, and a header says that the server's end was not declared. To callers of HTTP/1.0 a response in chunks that was read completely gets its length.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -28,6 +28,8 @@
 export type {ServerNotice} from './messages/serverNotice.ts';
 export {bodyFramingSchema} from './responses/bodyFraming.ts';
 export type {BodyFraming} from './responses/bodyFraming.ts';
+export {chooseFraming, judgeCompleteness} from './responses/responseCompleteness.ts';
+export type {Completeness} from './responses/responseCompleteness.ts';
 export type {SendProbe} from './messages/hostMessages.ts';
 export type {DialServer} from './messages/requestMessages.ts';
 export {responseTable} from './errors/responseTable.ts';
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -256,6 +256,8 @@
   status: z.number().int(),
   contentType: z.string().optional(),
   body: z.instanceof(Uint8Array),
+  /** True where its server did not declare the end of the body, so that a replay may not either. Default: false. */
+  isEndUndeclared: z.boolean().optional(),
 });
 
 /** Queries a replica of an idempotency key for a claim: the reservation of the key by one run of the request. */
--- a/packages/proxy/src/attempt-relay/attemptRelayTask.ts
+++ b/packages/proxy/src/attempt-relay/attemptRelayTask.ts
@@ -4,7 +4,7 @@
 import type {HostEffect, HostEvent} from '@godwitspring/core';
 import type {Dispatcher} from 'undici';
 import {bufferResponse} from '../backends/bufferResponse.ts';
-import {endByClose, endsByClose} from '../backends/endsByClose.ts';
+import {bodyFramingOf} from '../backends/bodyFramingOf.ts';
 import {limitInterimResponses, maxInterimResponses} from '../backends/limitInterimResponses.ts';
 import {RepeatedResponseDetector} from '../backends/repeatedResponseDetector.ts';
 import {ServerConnectionPool, recordAttempt} from '../backends/serverConnectionPool.ts';
@@ -15,7 +15,7 @@
 import {drainServer} from '../task/drainServer.ts';
 import {listenOn} from '../task/listenOn.ts';
 import type {TimerService} from '../timer/timerService.ts';
-import {relayNotSentHeader, relayServerHeader} from './relayHeaders.ts';
+import {relayNotSentHeader, relayServerHeader, undeclaredEndHeader} from './relayHeaders.ts';
 
 /** Effect of the core that lists the servers to which attempts are relayed. */
 export type RelayTargets = Extract<HostEffect, {type: 'relayTargets'}>;
@@ -175,7 +175,9 @@
       });
       const notice = dialect.serverNotice(response.statusCode, response.headers);
       postToCore({type: 'serverNoticed', serverId, notice});
+      const framing = bodyFramingOf({method: incoming.method ?? 'GET', ...response});
       const buffered = await bufferResponse(response.body, {
+        framing,
         maxBytes: bufferedResponseBytes,
         wasReset: () => connection.wasReset,
         repeats: new RepeatedResponseDetector({
@@ -184,10 +186,11 @@
         }),
       });
       outgoing.shouldKeepAlive &&= !this.#isDraining;
-      if (endsByClose(response, buffered)) {
-        endByClose(outgoing);
+      const headers = endToEndHeaders(response.headers, [undeclaredEndHeader]);
+      if (framing === 'close') {
+        headers[undeclaredEndHeader] = '1';
       }
-      outgoing.writeHead(response.statusCode, endToEndHeaders(response.headers));
+      outgoing.writeHead(response.statusCode, headers);
       await pipeline(buffered.body, outgoing);
       if (isAnonymousFailure(response, requestNameHeader)) {
         pool.discard(connection);
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -1,4 +1,10 @@
-import type {AttemptFailure, FailureReason, HostEvent, SendProbe} from '@godwitspring/core';
+import type {
+  AttemptFailure,
+  BodyFraming,
+  FailureReason,
+  HostEvent,
+  SendProbe,
+} from '@godwitspring/core';
 import {errors} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {PendingResponse} from '../callers/exchange.ts';
@@ -9,15 +15,20 @@
   InterimResponsesError,
   RepeatedResponseError,
   SlowCallerError,
+  UndeclaredBodyError,
 } from '../errors/hostErrors.ts';
 import {Mailbox} from '../task/mailbox.ts';
 import type {TimerService} from '../timer/timerService.ts';
 import type {BackendCommand, RunAttempt} from './backendMessages.ts';
-import {relayNotSentHeader, relayServerHeader} from '../attempt-relay/relayHeaders.ts';
+import {
+  relayNotSentHeader,
+  relayServerHeader,
+  undeclaredEndHeader,
+} from '../attempt-relay/relayHeaders.ts';
 import {bufferResponse} from './bufferResponse.ts';
 import {bodyFramingOf} from './bodyFramingOf.ts';
-import {endsByClose} from './endsByClose.ts';
 import {errorCode, failureReasonOf} from './failureReasonOf.ts';
+import {readUndeclaredBody} from './readUndeclaredBody.ts';
 import {limitInterimResponses, maxInterimResponses} from './limitInterimResponses.ts';
 import {RepeatedResponseDetector} from './repeatedResponseDetector.ts';
 import {ServerConnectionPool, dialTcp, recordAttempt} from './serverConnectionPool.ts';
@@ -44,6 +55,11 @@
   readonly restMs: number;
   /** Responses up to this size are read completely before they are passed on, in bytes. Default: 0. */
   readonly bufferedResponseBytes: number;
+  /**
+   * Largest response body without a declared end that is passed on, in bytes; it is read completely first.
+   * Default: 1,048,576.
+   */
+  readonly maxUndeclaredBytes: number;
   readonly postToCore: (event: HostEvent) => void;
   /** Starts to open a socket to a server or a relaying host. Default: `dialTcp`. */
   readonly dial: Dial;
@@ -62,6 +78,7 @@
   idleMs: 4_000,
   restMs: 0,
   bufferedResponseBytes: 0,
+  maxUndeclaredBytes: 1_048_576,
   dial: dialTcp,
   relayOriginOf: (): string => '',
 } as const;
@@ -86,7 +103,7 @@
   if (error instanceof SlowCallerError) {
     return {failure: 'caller', mayHaveRun: true};
   }
-  if (error instanceof RepeatedResponseError) {
+  if (error instanceof RepeatedResponseError || error instanceof UndeclaredBodyError) {
     return {failure: 'malformed', mayHaveRun: true};
   }
   if (!hasConnected) {
@@ -101,6 +118,15 @@
   };
 }
 
+/** How the server marks the end of a response; a relaying host sends chunks and says where the server did not. */
+function framingOf(
+  {method, relayHostId}: RunAttempt,
+  response: Dispatcher.ResponseData,
+): BodyFraming {
+  const isUndeclared = relayHostId !== undefined && undeclaredEndHeader in response.headers;
+  return isUndeclared ? 'close' : bodyFramingOf({method, ...response});
+}
+
 /** Owns the sockets to backend servers: runs attempts and health probes, and reports their results to the core. */
 export class BackendTask {
   readonly #options: BackendTaskOptions;
@@ -273,7 +299,7 @@
     connection: ServerConnection,
   ): Promise<void> {
     const {requestId, attempt, notRunHeader} = run;
-    const {dialect, bufferedResponseBytes} = this.#options;
+    const {dialect, bufferedResponseBytes, maxUndeclaredBytes} = this.#options;
     const {statusCode: status, body} = response;
     if (run.relayHostId !== undefined && response.headers[relayNotSentHeader] !== undefined) {
       body.on('error', () => undefined).destroy();
@@ -303,26 +329,31 @@
         notice,
       });
     }
-    const dropped = dialect.droppedResponseHeaders(notRunHeader);
+    const dropped = [...dialect.droppedResponseHeaders(notRunHeader), undeclaredEndHeader];
     const headers = endToEndHeaders(response.headers, dropped);
-    const buffered = await bufferResponse(body, {
-      maxBytes: bufferedResponseBytes,
+    const framing = framingOf(run, response);
+    this.#options.count('server.response', {framing});
+    const options = {
+      framing,
       wasReset: () => connection.wasReset,
       repeats: new RepeatedResponseDetector({
         requestNameHeader: dialect.requestNameHeader,
         attemptNames: connection.attemptNames,
       }),
-    });
+    };
+    const buffered =
+      framing === 'close'
+        ? await readUndeclaredBody(body, {...options, maxBytes: maxUndeclaredBytes})
+        : await bufferResponse(body, {...options, maxBytes: bufferedResponseBytes});
     this.#options.answer(requestId, {
       attempt,
       status,
       headers,
       body: buffered.body,
-      endsByClose: endsByClose(response, buffered),
+      framing,
+      bodyBytes: buffered.wholeBytes,
     });
     const {reportsNotRun, isMisdirected} = classification;
-    const framing = bodyFramingOf({method: run.method, ...response});
-    this.#options.count('server.response', {framing});
     this.#options.postToCore({
       type: 'attemptAnswered',
       requestId,
--- a/packages/proxy/src/backends/bufferResponse.ts
+++ b/packages/proxy/src/backends/bufferResponse.ts
@@ -1,34 +1,11 @@
 import {PassThrough, pipeline, Readable} from 'node:stream';
-import {BrokenAnswerError, RepeatedResponseError} from '../errors/hostErrors.ts';
-import type {RepeatedResponseDetector} from './repeatedResponseDetector.ts';
+import {soundChunks} from './soundChunks.ts';
+import type {SoundChunksOptions} from './soundChunks.ts';
 
 /** Limits of buffering a response. */
-export interface BufferResponseOptions {
+export interface BufferResponseOptions extends SoundChunksOptions {
   /** Bodies up to this size are read completely before any of it is passed on, in bytes. */
   readonly maxBytes: number;
-  /** Returns, at the end of the body, whether the server reset the connection rather than closed it. */
-  readonly wasReset: () => boolean;
-  /** Finds copies of other responses within the body. */
-  readonly repeats: RepeatedResponseDetector;
-}
-
-/**
- * Yields the chunks of a body; fails where a copy of another response arrives within it, and at its end where the
- * connection was reset rather than closed.
- */
-async function* soundChunks(
-  body: Readable,
-  {wasReset, repeats}: BufferResponseOptions,
-): AsyncGenerator<Buffer> {
-  for await (const chunk of body) {
-    if (repeats.hasFoundIn(chunk as Buffer)) {
-      throw new RepeatedResponseError('the body holds the head of another response');
-    }
-    yield chunk as Buffer;
-  }
-  if (wasReset()) {
-    throw new BrokenAnswerError('the connection was reset before the response was complete');
-  }
 }
 
 /** A response body, of which at least the start was read. */
--- a/packages/proxy/src/backends/failureReasonOf.ts
+++ b/packages/proxy/src/backends/failureReasonOf.ts
@@ -3,6 +3,7 @@
   BrokenAnswerError,
   InterimResponsesError,
   RepeatedResponseError,
+  UndeclaredBodyError,
 } from '../errors/hostErrors.ts';
 
 /** Code of a system or library error; empty where it has none. */
@@ -21,5 +22,8 @@
   if (error instanceof InterimResponsesError) {
     return 'interim';
   }
+  if (error instanceof UndeclaredBodyError) {
+    return 'undeclared-too-large';
+  }
   return errorCode(error).startsWith('HPE_') ? 'protocol' : undefined;
 }
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -17,11 +17,11 @@
 import type {CallerLimits} from '@godwitspring/document';
 import {Hono} from 'hono';
 import type {BackendCommand} from '../backends/backendMessages.ts';
-import {endByClose} from '../backends/endsByClose.ts';
 import {failureReasonOf} from '../backends/failureReasonOf.ts';
 import {Mailbox} from '../task/mailbox.ts';
 import type {TimerService} from '../timer/timerService.ts';
 import {ResponseRecorder} from './responseRecorder.ts';
+import {applyFraming} from './applyFraming.ts';
 import {BodyLimiter} from './bodyLimiter.ts';
 import type {Exchange, PendingResponse} from './exchange.ts';
 import type {HostIntake} from '../intake/hostIntake.ts';
@@ -424,19 +424,14 @@
     }
     try {
       this.#announceClose(outgoing);
-      if (response.endsByClose) {
-        endByClose(outgoing);
-      }
-      outgoing.writeHead(response.status, {
-        ...response.headers,
-        [this.#requestNameHeader]: requestName,
-      });
+      outgoing.setHeader(this.#requestNameHeader, requestName);
+      const framing = applyFraming(response, outgoing);
+      outgoing.writeHead(response.status, response.headers);
       // A length or chunks show by themselves that a response is incomplete, also where this process is killed.
-      const isFramed = outgoing.chunkedEncoding || response.headers['content-length'] !== undefined;
-      if (!isFramed) {
+      if (framing === 'close') {
         resetIfBrokenOff(response, outgoing);
       }
-      const recorder = new ResponseRecorder(response.status, response.headers['content-type']);
+      const recorder = new ResponseRecorder(response);
       this.#options.intake.hold(outgoing, responseBytes(response));
       await (this.#mustRecordResponse(exchange)
         ? pipeline(response.body, recorder, sliceChunks, outgoing)
@@ -471,7 +466,7 @@
   /** Sends the stored response to an earlier request with the same idempotency key. */
   #replayResponse(
     {requestId, outgoing, requestName}: Exchange,
-    {status, contentType, body}: StoredResponse,
+    {status, contentType, body, isEndUndeclared}: StoredResponse,
   ): void {
     this.#exchanges.delete(requestId);
     const headers: Record<string, string> = {
@@ -481,6 +476,10 @@
     if (contentType !== undefined) {
       headers['content-type'] = contentType;
     }
+    applyFraming(
+      {framing: isEndUndeclared === true ? 'close' : 'chunks', bodyBytes: body.length},
+      outgoing,
+    );
     outgoing.writeHead(status, headers);
     outgoing.end(body);
   }
--- a/packages/proxy/src/callers/exchange.ts
+++ b/packages/proxy/src/callers/exchange.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Readable} from 'node:stream';
+import type {BodyFraming} from '@godwitspring/core';
 import type {HeaderMap} from './headers.ts';
 
 /** Head of a backend server's response, with a body that has not been read yet. */
@@ -8,8 +9,10 @@
   readonly status: number;
   readonly headers: HeaderMap;
   readonly body: Readable;
-  /** True where only the close of the connection marks the end of the response, see `endsByClose`. */
-  readonly endsByClose: boolean;
+  /** How the server marks the end of the body; one that only the close of the connection marks was read to its end. */
+  readonly framing: BodyFraming;
+  /** Size of the body, in bytes; undefined where it was not read to its end before it is passed on. */
+  readonly bodyBytes: number | undefined;
 }
 
 /** A caller's request in progress, with its streams to the caller and the responses to its attempts. */
--- a/packages/proxy/src/callers/heldBytes.ts
+++ b/packages/proxy/src/callers/heldBytes.ts
@@ -16,7 +16,10 @@
 }
 
 /** Memory that a response takes at most while its caller reads it, in bytes. */
-export function responseBytes({headers}: PendingResponse): number {
+export function responseBytes({headers, framing, bodyBytes}: PendingResponse): number {
+  if (framing === 'close' && bodyBytes !== undefined) {
+    return bodyBytes;
+  }
   const declared = Number(headers['content-length'] ?? Number.NaN);
   return Number.isNaN(declared) ? maxResponseBytes : Math.min(declared, maxResponseBytes);
 }
--- a/packages/proxy/src/callers/responseRecorder.ts
+++ b/packages/proxy/src/callers/responseRecorder.ts
@@ -1,6 +1,7 @@
 import {Transform} from 'node:stream';
 import type {TransformCallback} from 'node:stream';
 import type {StoredResponse} from '@godwitspring/core';
+import type {PendingResponse} from './exchange.ts';
 
 /** Largest response body that is recorded for duplicates of its request, in bytes. */
 const maxRecordedBytes = 4_096;
@@ -12,13 +13,16 @@
 export class ResponseRecorder extends Transform {
   readonly #status: number;
   readonly #contentType: string | undefined;
+  readonly #isEndUndeclared: boolean | undefined;
   readonly #chunks: Buffer[] = [];
   #receivedBytes = 0;
   #isEnded = false;
 
-  constructor(status: number, contentType: string | string[] | undefined) {
+  constructor({status, headers, framing}: Pick<PendingResponse, 'status' | 'headers' | 'framing'>) {
     super();
+    const contentType = headers['content-type'];
     this.#status = status;
+    this.#isEndUndeclared = framing === 'close' ? true : undefined;
     this.#contentType = typeof contentType === 'string' ? contentType : undefined;
   }
 
@@ -28,7 +32,12 @@
       return undefined;
     }
     const body = new Uint8Array(Buffer.concat(this.#chunks));
-    return {status: this.#status, contentType: this.#contentType, body};
+    return {
+      status: this.#status,
+      contentType: this.#contentType,
+      body,
+      isEndUndeclared: this.#isEndUndeclared,
+    };
   }
 
   override _transform(chunk: Buffer, _encoding: BufferEncoding, done: TransformCallback): void {
--- a/packages/proxy/src/errors/hostErrors.ts
+++ b/packages/proxy/src/errors/hostErrors.ts
@@ -21,6 +21,9 @@
 /** The connection to a backend server broke before the response was complete. */
 export const BrokenAnswerError = HostError.subclass('BrokenAnswerError');
 
+/** A response body whose end is not declared is larger than a host reads. */
+export const UndeclaredBodyError = HostError.subclass('UndeclaredBodyError');
+
 /** A backend server sent more interim responses than any request needs. */
 export const InterimResponsesError = HostError.subclass('InterimResponsesError');
 
