A host resets the responses that it breaks off where their close would look like the end

What callers saw: to callers of HTTP/1.0, the part of a response that a stopping host, a limit on slow readers or an unreadable pipelined request cut ended like the whole. Cause: only a body that broke off reset the connection; everything else closed it in order. Change: breakOff is the one way to end a response early. It resets the connection where neither a length nor chunks mark the end; the intake and the stop of the host use it.

--- a/packages/proxy/src/__tests__/undeclaredEnds.test.ts
+++ b/packages/proxy/src/__tests__/undeclaredEnds.test.ts
@@ -175,4 +175,19 @@
     });
     expect(headers.get('content-length')).to.equal('9');
   });
+
+  // Guards against an orderly close in the middle of a response when the host stops; the last test, as it is final.
+  it('is reset where the host stops in the middle of it', async () => {
+    fixture.onRequest = (_serverNumber, _request, response) => {
+      const timer = setInterval(() => response.write(Buffer.alloc(65_536)), 10);
+      response.on('close', () => {
+        clearInterval(timer);
+      });
+    };
+    const response = call('/booking');
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    await fixture.stop();
+    const {status, end} = await response;
+    expect({status, end}).to.deep.equal({status: 200, end: 'broken'});
+  });
 });
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -23,6 +23,7 @@
 import {ResponseRecorder} from './responseRecorder.ts';
 import {applyFraming} from './applyFraming.ts';
 import {BodyLimiter} from './bodyLimiter.ts';
+import {breakOff} from './breakOff.ts';
 import type {Exchange, PendingResponse} from './exchange.ts';
 import type {HostIntake} from '../intake/hostIntake.ts';
 import type {HttpDialect} from '../dialect/httpDialect.ts';
@@ -191,6 +192,7 @@
   /** Closes all connections at once. */
   stop(): void {
     this.#server?.close();
+    this.#options.intake.breakOffResponses();
     this.#server?.closeAllConnections();
   }
 
@@ -445,7 +447,7 @@
       });
     } catch (error) {
       this.#exchanges.delete(requestId);
-      outgoing.destroy();
+      breakOff(outgoing);
       this.#options.count('caller.answerBroken');
       this.#options.postToCore({
         type: 'attemptFailed',
@@ -489,7 +491,7 @@
     this.#exchanges.delete(requestId);
     const {outgoing, incoming, requestName} = exchange;
     if (outgoing.headersSent || outgoing.destroyed) {
-      outgoing.destroy();
+      breakOff(outgoing);
       return;
     }
     const {dialect, timers} = this.#options;
@@ -544,7 +546,7 @@
     this.#options.count('request.refused', {kind});
     const isSilent = socket.bytesRead === 0;
     if (!socket.writable || isSilent || this.#options.intake.hasRequests(socket)) {
-      socket.destroy();
+      this.#options.intake.close(socket);
       return;
     }
     const {status, headers, body} = this.#options.dialect.refusal(kind, {outcome: 'not-run'});
--- a/packages/proxy/src/intake/hostIntake.ts
+++ b/packages/proxy/src/intake/hostIntake.ts
@@ -14,6 +14,7 @@
   Reservation,
   ScarceResource,
 } from '@godwitspring/core';
+import {breakOff, isCloseDelimited} from '../callers/breakOff.ts';
 import type {TimerHandle, TimerService} from '../timer/timerService.ts';
 import {GuardedConnection} from './guardedConnection.ts';
 import type {GuardedRequest} from './guardedConnection.ts';
@@ -179,6 +180,29 @@
     this.#log(`refused.${reason}`);
   }
 
+  /** Closes a connection at once; resets it where a response is being sent whose end a close would mark. */
+  close(socket: Socket): void {
+    const inProgress = this.#connections.get(socket)?.inProgress ?? [];
+    for (const {outgoing} of inProgress) {
+      if (outgoing.socket === socket && isCloseDelimited(outgoing)) {
+        socket.resetAndDestroy();
+        return;
+      }
+    }
+    socket.destroy();
+  }
+
+  /** Resets the connections on which responses are being sent whose end a close would mark. */
+  breakOffResponses(): void {
+    for (const {inProgress} of [...this.#connections.values()]) {
+      for (const {outgoing} of inProgress) {
+        if (isCloseDelimited(outgoing)) {
+          breakOff(outgoing);
+        }
+      }
+    }
+  }
+
   /** Ends the checks; connections are closed by the servers that own them. */
   stop(): void {
     this.#sweep?.cancel();
@@ -359,7 +383,7 @@
 
   #close(connection: GuardedConnection, reason: string): void {
     this.#count(reason, connection.address);
-    connection.socket.destroy();
+    this.close(connection.socket);
     this.#forget(connection);
   }
 
