The parser of the HTTP client is not paused when a server's connection ends

What callers saw: nothing yet; an exception from an event of the socket, after which a request has no end, and a process without a handler ends. A slow reader pauses it. Change: the client's buffer has no limit, so that it never pauses its parser; the socket is held back in its place once 65,536 bytes of a body wait, and the end of the connection waits behind the bytes.

--- a/packages/proxy/src/__tests__/cutOffHost.test.ts
+++ b/packages/proxy/src/__tests__/cutOffHost.test.ts
@@ -1,6 +1,7 @@
-import {Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import {expect} from 'chai';
 import {dialTcp} from '../backends/serverConnectionPool.ts';
+import {ThrottledSocket} from '../backends/throttledSocket.ts';
 import {GossipFleetFixture} from './__fixtures__/gossipFleetFixture.ts';
 
 const subnet = '127.55';
@@ -26,7 +27,7 @@
         return dialTcp(ip, port);
       }
       if (cut === 'hang') {
-        return new Socket();
+        return new ThrottledSocket();
       }
       const socket = dialTcp(ip, cut === 'none' ? port : closedPort);
       sockets.add(socket);
--- a/packages/proxy/src/__tests__/serverConnectionPool.test.ts
+++ b/packages/proxy/src/__tests__/serverConnectionPool.test.ts
@@ -1,6 +1,6 @@
-import {Socket} from 'node:net';
 import {expect} from 'chai';
 import {ServerConnectionPool} from '../backends/serverConnectionPool.ts';
+import {ThrottledSocket} from '../backends/throttledSocket.ts';
 import {VirtualTimers} from './__fixtures__/virtualTimers.ts';
 
 describe('ServerConnectionPool', () => {
@@ -24,7 +24,7 @@
 
   it('gives up a connection that is not established within the timeout', async () => {
     const timers = new VirtualTimers();
-    const dial = (): Socket => new Socket();
+    const dial = (): ThrottledSocket => new ThrottledSocket();
     const pool = new ServerConnectionPool({...options, timers, dial});
     const connection = pool.acquire();
     let failedAtMs = 0;
--- a/packages/proxy/src/attempt-relay/attemptRelayTask.ts
+++ b/packages/proxy/src/attempt-relay/attemptRelayTask.ts
@@ -7,7 +7,12 @@
 import {bodyFramingOf} from '../backends/bodyFramingOf.ts';
 import {limitInterimResponses, maxInterimResponses} from '../backends/limitInterimResponses.ts';
 import {RepeatedResponseDetector} from '../backends/repeatedResponseDetector.ts';
-import {ServerConnectionPool, recordAttempt} from '../backends/serverConnectionPool.ts';
+import {
+  ServerConnectionPool,
+  holdBackConnection,
+  recordAttempt,
+  unlimitedBodyBytes,
+} from '../backends/serverConnectionPool.ts';
 import {endToEndHeaders} from '../callers/headers.ts';
 import {InterimResponsesError, RepeatedResponseError} from '../errors/hostErrors.ts';
 import type {HttpDialect} from '../dialect/httpDialect.ts';
@@ -169,10 +174,12 @@
         signal: controller.signal,
         // The host that placed the attempt enforces its timeout.
         headersTimeout: 0,
+        highWaterMark: unlimitedBodyBytes,
         onInfo: limitInterimResponses(() => {
           controller.abort(new InterimResponsesError(`more than ${maxInterimResponses} of them`));
         }),
       });
+      holdBackConnection(connection, response.body);
       const notice = dialect.serverNotice(response.statusCode, response.headers);
       postToCore({type: 'serverNoticed', serverId, notice});
       const framing = bodyFramingOf({method: incoming.method ?? 'GET', ...response});
@@ -180,6 +187,7 @@
         framing,
         maxBytes: bufferedResponseBytes,
         wasReset: () => connection.wasReset,
+        onRead: () => connection.socket?.resumeReads(),
         repeats: new RepeatedResponseDetector({
           requestNameHeader,
           attemptNames: connection.attemptNames,
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -31,7 +31,13 @@
 import {readUndeclaredBody} from './readUndeclaredBody.ts';
 import {limitInterimResponses, maxInterimResponses} from './limitInterimResponses.ts';
 import {RepeatedResponseDetector} from './repeatedResponseDetector.ts';
-import {ServerConnectionPool, dialTcp, recordAttempt} from './serverConnectionPool.ts';
+import {
+  ServerConnectionPool,
+  dialTcp,
+  holdBackConnection,
+  recordAttempt,
+  unlimitedBodyBytes,
+} from './serverConnectionPool.ts';
 import type {Dial, ServerConnection} from './serverConnectionPool.ts';
 
 /** Settings and collaborators of the backend task. */
@@ -227,10 +233,12 @@
         signal: controller.signal,
         // The core enforces the timeouts of attempts; the library's timer may fire half a second early.
         headersTimeout: 0,
+        highWaterMark: unlimitedBodyBytes,
         onInfo: limitInterimResponses(() => {
           this.#failForInterimResponses(run, controller);
         }),
       });
+      holdBackConnection(connection, response.body);
       const {dialect} = this.#options;
       const {statusCode, headers} = response;
       const classification = dialect.classifyResponse(statusCode, headers, run.notRunHeader);
@@ -336,6 +344,7 @@
     const options = {
       framing,
       wasReset: () => connection.wasReset,
+      onRead: () => connection.socket?.resumeReads(),
       repeats: new RepeatedResponseDetector({
         requestNameHeader: dialect.requestNameHeader,
         attemptNames: connection.attemptNames,
--- a/packages/proxy/src/backends/serverConnectionPool.ts
+++ b/packages/proxy/src/backends/serverConnectionPool.ts
@@ -1,12 +1,12 @@
-import {connect} from 'node:net';
-import type {Socket} from 'node:net';
+import type {Readable} from 'node:stream';
 import {Client} from 'undici';
 import type {buildConnector} from 'undici';
 import {ConnectTimeoutError} from '../errors/hostErrors.ts';
+import {ThrottledSocket} from './throttledSocket.ts';
 import type {TimerService} from '../timer/timerService.ts';
 
 /** Starts to open a socket to an IP number and port. */
-export type Dial = (host: string, port: number) => Socket;
+export type Dial = (host: string, port: number) => ThrottledSocket;
 
 /** Settings of the connection pool of one backend server. */
 export interface ServerConnectionPoolOptions {
@@ -34,9 +34,15 @@
   readonly dial: Dial;
 }
 
+/** Gets the socket that was opened, or the reason why it could not be. */
+type OpenCallback = (...opened: [null, ThrottledSocket] | [Error, null]) => void;
+
 /** Starts to open a TCP connection with Nagle's algorithm off and keep-alive on. */
-export function dialTcp(host: string, port: number): Socket {
-  return connect({host, port, noDelay: true, keepAlive: true});
+export function dialTcp(host: string, port: number): ThrottledSocket {
+  const socket = new ThrottledSocket();
+  socket.setNoDelay(true);
+  socket.setKeepAlive(true);
+  return socket.connect({host, port});
 }
 
 export const DEFAULT_SERVER_CONNECTION_POOL_OPTIONS = {
@@ -63,6 +69,8 @@
 /** A connection to a backend server, used for one request at a time. */
 export interface ServerConnection {
   readonly client: Client;
+  /** Undefined until the connection was established. */
+  socket: ThrottledSocket | undefined;
   /** True once the connection was established; before, no byte of a request was sent. */
   hasConnected: boolean;
   /**
@@ -76,6 +84,16 @@
   readonly attemptNames: string[];
 }
 
+/** Size of the unread part of a response body from which its connection is not read, in bytes. */
+const unreadBodyBytes = 65_536;
+/** Size that no body reaches, in bytes: the client is not to pause its parser, as the socket is held back instead. */
+export const unlimitedBodyBytes = 2 ** 40;
+
+/** Reads from a connection only while little of a response body waits for its reader. */
+export function holdBackConnection({socket}: ServerConnection, body: Readable): void {
+  socket?.holdBackWhile(() => body.readableLength >= unreadBodyBytes);
+}
+
 /** Attempts of a connection whose names are kept: more than a server answers before it sends a late copy. */
 const keptAttemptNames = 16;
 
@@ -178,7 +196,11 @@
     const client = new Client(origin, {
       pipelining: 1,
       connect: (target, callback) => {
-        this.#open(target, callback, () => {
+        const onOpened: OpenCallback = (...opened) => {
+          connection.socket = opened[1] ?? undefined;
+          callback(...opened);
+        };
+        this.#open(target, onOpened, () => {
           connection.wasReset = true;
         });
       },
@@ -188,6 +210,7 @@
     });
     const connection: ServerConnection = {
       client,
+      socket: undefined,
       hasConnected: false,
       wasReset: false,
       isBusy: false,
@@ -225,7 +248,7 @@
   /** Opens a socket within the timeout; the client library's own connect timer may fire most of a second late. */
   #open(
     {hostname, port}: Pick<buildConnector.Options, 'hostname' | 'port'>,
-    callback: buildConnector.Callback,
+    callback: OpenCallback,
     onReset: () => void,
   ): void {
     const {dial, timers, connectTimeoutMs, onDialed} = this.#options;
--- a/packages/proxy/src/backends/soundChunks.ts
+++ b/packages/proxy/src/backends/soundChunks.ts
@@ -10,6 +10,8 @@
   readonly framing: BodyFraming;
   /** Returns, at the end of the body, whether the server reset the connection rather than closed it. */
   readonly wasReset: () => boolean;
+  /** Called after each read of the body. */
+  readonly onRead: () => void;
   /** Finds copies of other responses within the body. */
   readonly repeats: RepeatedResponseDetector;
 }
@@ -17,9 +19,10 @@
 /** Yields the chunks of a body; fails where a copy of another response arrives within it, and where its end is not complete. */
 export async function* soundChunks(
   body: Readable,
-  {framing, wasReset, repeats}: SoundChunksOptions,
+  {framing, wasReset, onRead, repeats}: SoundChunksOptions,
 ): AsyncGenerator<Buffer> {
   for await (const chunk of body) {
+    onRead();
     if (repeats.hasFoundIn(chunk as Buffer)) {
       throw new RepeatedResponseError('the body holds the head of another response');
     }
