A budget for the memory of responses that are read completely

Cause: up to 262,144 bytes of each response are read before any of it is passed on, and nothing bounds the sum over all responses of a host. Responses count towards the budget of the intake only once they are delivered.

`MemoryBudget` doesn't fit: it takes reservations of a known size, by customer.

Effect on a host: not measured, as it is not wired in.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -53,3 +53,11 @@
 } from './intake/evictionPolicy.ts';
 export {PipelineWindow} from './intake/pipelineWindow.ts';
 export {IncompleteMessages} from './intake/incompleteMessages.ts';
+export {
+  DEFAULT_RESPONSE_MEMORY_BUDGET_OPTIONS,
+  ResponseMemoryBudget,
+} from './responses/responseMemoryBudget.ts';
+export type {
+  ResponseMemory,
+  ResponseMemoryBudgetOptions,
+} from './responses/responseMemoryBudget.ts';
