Responses with very many short fields end before they are parsed

Cause: the HTTP client limits the names and values of a head to 16,384 bytes, but not its fields, and keeps two buffers of some 144 bytes for each. A head, or trailers, of `a:` lines takes about 4.7 MB, and the parsers release it only when their sockets are closed, at the end of the turn of the event loop. The first 17 such responses at the same time took a host past the 120 MB of its heap; the process ended.

Change: `ServerSocket`, which the pool opens, gives what arrives to a `ResponseHeadLimiter` of the core before the client can read it. A response with more than 500 lines in its heads (interim ones included) and trailers, or with a line of more than 17,408 bytes, breaks with `ResponseHeadError`; the attempt counts as malformed. Lines before chunks and status lines count as lines, so that they too end early instead of being read until the timeout. Bodies are not searched; chunks are skipped by their sizes.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -61,3 +61,8 @@
   ResponseMemory,
   ResponseMemoryBudgetOptions,
 } from './responses/responseMemoryBudget.ts';
+export {
+  DEFAULT_RESPONSE_HEAD_LIMITER_OPTIONS,
+  ResponseHeadLimiter,
+} from './responses/responseHeadLimiter.ts';
+export type {ResponseHeadLimiterOptions} from './responses/responseHeadLimiter.ts';
--- a/packages/proxy/src/backends/serverConnectionPool.ts
+++ b/packages/proxy/src/backends/serverConnectionPool.ts
@@ -1,9 +1,9 @@
-import {connect} from 'node:net';
 import type {Socket} from 'node:net';
 import {Client} from 'undici';
 import type {buildConnector} from 'undici';
 import {ConnectTimeoutError} from '../errors/hostErrors.ts';
 import type {TimerService} from '../timer/timerService.ts';
+import {ServerSocket} from './serverSocket.ts';
 
 /** Starts to open a socket to an IP number and port. */
 export type Dial = (host: string, port: number) => Socket;
@@ -36,7 +36,10 @@
 
 /** Starts to open a TCP connection with Nagle's algorithm off and keep-alive on. */
 export function dialTcp(host: string, port: number): Socket {
-  return connect({host, port, noDelay: true, keepAlive: true});
+  const socket = new ServerSocket();
+  socket.setNoDelay(true);
+  socket.setKeepAlive(true);
+  return socket.connect({host, port});
 }
 
 export const DEFAULT_SERVER_CONNECTION_POOL_OPTIONS = {
@@ -63,6 +66,8 @@
 /** A connection to a backend server, used for one request at a time. */
 export interface ServerConnection {
   readonly client: Client;
+  /** The socket; undefined before it is opened by the first request. */
+  socket: Socket | undefined;
   /** True once the connection was established; before, no byte of a request was sent. */
   hasConnected: boolean;
   /**
@@ -115,6 +120,9 @@
   acquire({isNew = false}: {isNew?: boolean} = {}): ServerConnection {
     const connection = (isNew ? undefined : this.#idle.pop()) ?? this.#create();
     connection.isBusy = true;
+    if (connection.socket instanceof ServerSocket) {
+      connection.socket.startResponse();
+    }
     return connection;
   }
 
@@ -178,7 +186,7 @@
     const client = new Client(origin, {
       pipelining: 1,
       connect: (target, callback) => {
-        this.#open(target, callback, () => {
+        connection.socket = this.#open(target, callback, () => {
           connection.wasReset = true;
         });
       },
@@ -188,6 +196,7 @@
     });
     const connection: ServerConnection = {
       client,
+      socket: undefined,
       hasConnected: false,
       wasReset: false,
       isBusy: false,
@@ -227,7 +236,7 @@
     {hostname, port}: Pick<buildConnector.Options, 'hostname' | 'port'>,
     callback: buildConnector.Callback,
     onReset: () => void,
-  ): void {
+  ): Socket {
     const {dial, timers, connectTimeoutMs, onDialed} = this.#options;
     const socket = dial(hostname, port === '' ? defaultPort : Number(port));
     let isOpen = false;
@@ -256,6 +265,7 @@
         onReset();
       }
     });
+    return socket;
   }
 
   #remove(connection: ServerConnection): void {
--- a/packages/proxy/src/errors/hostErrors.ts
+++ b/packages/proxy/src/errors/hostErrors.ts
@@ -24,6 +24,14 @@
 /** A backend server sent more interim responses than any request needs. */
 export const InterimResponsesError = HostError.subclass('InterimResponsesError');
 
+/**
+ * A backend server sent a head or trailers with more lines, or a longer line, than a host accepts. Its code is that of an
+ * HTTP parser for the same fault, so that the attempt counts as malformed.
+ */
+export const ResponseHeadError = HostError.subclass('ResponseHeadError', {
+  props: {code: 'HPE_HEADER_OVERFLOW'},
+});
+
 /** A connection to a backend server was not established in time. */
 export const ConnectTimeoutError = HostError.subclass('ConnectTimeoutError');
 
