--- a/packages/proxy/src/__tests__/cutOffHost.test.ts
+++ b/packages/proxy/src/__tests__/cutOffHost.test.ts
@@ -1,7 +1,7 @@
 import type {Socket} from 'node:net';
 import {expect} from 'chai';
 import {dialTcp} from '../backends/serverConnectionPool.ts';
-import {ThrottledSocket} from '../backends/throttledSocket.ts';
+import {ServerSocket} from '../backends/serverSocket.ts';
 import {GossipFleetFixture} from './__fixtures__/gossipFleetFixture.ts';
 
 const subnet = '127.55';
@@ -27,7 +27,7 @@
         return dialTcp(ip, port);
       }
       if (cut === 'hang') {
-        return new ThrottledSocket();
+        return new ServerSocket();
       }
       const socket = dialTcp(ip, cut === 'none' ? port : closedPort);
       sockets.add(socket);
--- a/packages/proxy/src/__tests__/serverConnectionPool.test.ts
+++ b/packages/proxy/src/__tests__/serverConnectionPool.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {ServerConnectionPool} from '../backends/serverConnectionPool.ts';
-import {ThrottledSocket} from '../backends/throttledSocket.ts';
+import {ServerSocket} from '../backends/serverSocket.ts';
 import {VirtualTimers} from './__fixtures__/virtualTimers.ts';
 
 describe('ServerConnectionPool', () => {
@@ -24,7 +24,7 @@
 
   it('gives up a connection that is not established within the timeout', async () => {
     const timers = new VirtualTimers();
-    const dial = (): ThrottledSocket => new ThrottledSocket();
+    const dial = (): ServerSocket => new ServerSocket();
     const pool = new ServerConnectionPool({...options, timers, dial});
     const connection = pool.acquire();
     let failedAtMs = 0;
--- a/packages/proxy/src/backends/serverConnectionPool.ts
+++ b/packages/proxy/src/backends/serverConnectionPool.ts
@@ -2,11 +2,11 @@
 import {Client} from 'undici';
 import type {buildConnector} from 'undici';
 import {ConnectTimeoutError} from '../errors/hostErrors.ts';
-import {ThrottledSocket} from './throttledSocket.ts';
 import type {TimerService} from '../timer/timerService.ts';
+import {ServerSocket} from './serverSocket.ts';
 
 /** Starts to open a socket to an IP number and port. */
-export type Dial = (host: string, port: number) => ThrottledSocket;
+export type Dial = (host: string, port: number) => ServerSocket;
 
 /** Settings of the connection pool of one backend server. */
 export interface ServerConnectionPoolOptions {
@@ -34,12 +34,9 @@
   readonly dial: Dial;
 }
 
-/** Gets the socket that was opened, or the reason why it could not be. */
-type OpenCallback = (...opened: [null, ThrottledSocket] | [Error, null]) => void;
-
 /** Starts to open a TCP connection with Nagle's algorithm off and keep-alive on. */
-export function dialTcp(host: string, port: number): ThrottledSocket {
-  const socket = new ThrottledSocket();
+export function dialTcp(host: string, port: number): ServerSocket {
+  const socket = new ServerSocket();
   socket.setNoDelay(true);
   socket.setKeepAlive(true);
   return socket.connect({host, port});
@@ -69,8 +66,8 @@
 /** A connection to a backend server, used for one request at a time. */
 export interface ServerConnection {
   readonly client: Client;
-  /** Undefined until the connection was established. */
-  socket: ThrottledSocket | undefined;
+  /** The socket; undefined before it is opened by the first request. */
+  socket: ServerSocket | undefined;
   /** True once the connection was established; before, no byte of a request was sent. */
   hasConnected: boolean;
   /**
@@ -133,6 +130,7 @@
   acquire({isNew = false}: {isNew?: boolean} = {}): ServerConnection {
     const connection = (isNew ? undefined : this.#idle.pop()) ?? this.#create();
     connection.isBusy = true;
+    connection.socket?.startResponse();
     return connection;
   }
 
@@ -196,11 +194,7 @@
     const client = new Client(origin, {
       pipelining: 1,
       connect: (target, callback) => {
-        const onOpened: OpenCallback = (...opened) => {
-          connection.socket = opened[1] ?? undefined;
-          callback(...opened);
-        };
-        this.#open(target, onOpened, () => {
+        connection.socket = this.#open(target, callback, () => {
           connection.wasReset = true;
         });
       },
@@ -248,9 +242,9 @@
   /** Opens a socket within the timeout; the client library's own connect timer may fire most of a second late. */
   #open(
     {hostname, port}: Pick<buildConnector.Options, 'hostname' | 'port'>,
-    callback: OpenCallback,
+    callback: buildConnector.Callback,
     onReset: () => void,
-  ): void {
+  ): ServerSocket {
     const {dial, timers, connectTimeoutMs, onDialed} = this.#options;
     const socket = dial(hostname, port === '' ? defaultPort : Number(port));
     let isOpen = false;
@@ -285,6 +279,7 @@
         onReset();
       }
     });
+    return socket;
   }
 
   #remove(connection: ServerConnection): void {
