Responses that are read before they are passed on share one budget of memory

Cause: each response could hold 262,144 bytes, and one without a declared end 1 MiB, whatever all of a host's held together; servers that send without end are many at a time. Where it is used up, a response with a declared end is streamed and one without is refused (reason 'memory'). Responses that are not delivered when their request ends are released.

--- a/packages/proxy/src/attempt-relay/attemptRelayTask.ts
+++ b/packages/proxy/src/attempt-relay/attemptRelayTask.ts
@@ -2,6 +2,7 @@
 import {createServer} from 'node:http';
 import {pipeline} from 'node:stream/promises';
 import type {HostEffect, HostEvent} from '@godwitspring/core';
+import {ResponseMemoryBudget} from '@godwitspring/core';
 import type {Dispatcher} from 'undici';
 import {bufferResponse} from '../backends/bufferResponse.ts';
 import {bodyFramingOf} from '../backends/bodyFramingOf.ts';
@@ -39,6 +40,8 @@
   readonly bufferedResponseBytes: number;
   /** Interpretation of what servers state in their responses. */
   readonly dialect: Pick<HttpDialect, 'serverNotice' | 'requestNameHeader'>;
+  /** Memory for the responses that are read before any of them is passed on. Default: one for this task alone. */
+  readonly responseMemory: ResponseMemoryBudget;
   readonly timers: TimerService;
   /** Bounds on what the host holds for other hosts. */
   readonly intake: HostIntake;
@@ -53,7 +56,7 @@
 
 type RequiredAttemptRelayTaskOptions = Omit<
   AttemptRelayTaskOptions,
-  keyof typeof DEFAULT_ATTEMPT_RELAY_TASK_OPTIONS
+  keyof typeof DEFAULT_ATTEMPT_RELAY_TASK_OPTIONS | 'responseMemory'
 >;
 
 /** Time after which an idle connection of another host is closed, in ms: later than that host closes it. */
@@ -73,7 +76,11 @@
   #isDraining = false;
 
   constructor(options: Partial<AttemptRelayTaskOptions> & RequiredAttemptRelayTaskOptions) {
-    this.#options = {...DEFAULT_ATTEMPT_RELAY_TASK_OPTIONS, ...options};
+    this.#options = {
+      ...DEFAULT_ATTEMPT_RELAY_TASK_OPTIONS,
+      responseMemory: new ResponseMemoryBudget(),
+      ...options,
+    };
   }
 
   /** Opens the port; fails where the address is in use. */
@@ -154,7 +161,7 @@
     outgoing: ServerResponse,
     {serverId, origin}: RelayTargets['targets'][number],
   ): Promise<void> {
-    const {bufferedResponseBytes, dialect, postToCore, count} = this.#options;
+    const {bufferedResponseBytes, responseMemory, dialect, postToCore, count} = this.#options;
     const pool = this.#poolOf(origin);
     const connection = pool.acquire();
     const {requestNameHeader} = dialect;
@@ -188,6 +195,7 @@
         maxBytes: bufferedResponseBytes,
         wasReset: () => connection.wasReset,
         onRead: () => connection.socket?.resumeReads(),
+        memory: responseMemory.open(),
         repeats: new RepeatedResponseDetector({
           requestNameHeader,
           attemptNames: connection.attemptNames,
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -5,6 +5,7 @@
   HostEvent,
   SendProbe,
 } from '@godwitspring/core';
+import {ResponseMemoryBudget} from '@godwitspring/core';
 import {errors} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {PendingResponse} from '../callers/exchange.ts';
@@ -14,6 +15,7 @@
   BodyLimitError,
   InterimResponsesError,
   RepeatedResponseError,
+  ResponseMemoryError,
   SlowCallerError,
   UndeclaredBodyError,
 } from '../errors/hostErrors.ts';
@@ -66,6 +68,8 @@
    * Default: 1,048,576.
    */
   readonly maxUndeclaredBytes: number;
+  /** Memory for the responses that are read before any of them is passed on. Default: one for this task alone. */
+  readonly responseMemory: ResponseMemoryBudget;
   readonly postToCore: (event: HostEvent) => void;
   /** Starts to open a socket to a server or a relaying host. Default: `dialTcp`. */
   readonly dial: Dial;
@@ -91,7 +95,7 @@
 
 type RequiredBackendTaskOptions = Omit<
   BackendTaskOptions,
-  keyof typeof DEFAULT_BACKEND_TASK_OPTIONS
+  keyof typeof DEFAULT_BACKEND_TASK_OPTIONS | 'responseMemory'
 >;
 
 /**
@@ -109,7 +113,11 @@
   if (error instanceof SlowCallerError) {
     return {failure: 'caller', mayHaveRun: true};
   }
-  if (error instanceof RepeatedResponseError || error instanceof UndeclaredBodyError) {
+  if (
+    error instanceof RepeatedResponseError ||
+    error instanceof UndeclaredBodyError ||
+    error instanceof ResponseMemoryError
+  ) {
     return {failure: 'malformed', mayHaveRun: true};
   }
   if (!hasConnected) {
@@ -145,7 +153,11 @@
   #reportedIdleServers = '';
 
   constructor(options: Partial<BackendTaskOptions> & RequiredBackendTaskOptions) {
-    this.#options = {...DEFAULT_BACKEND_TASK_OPTIONS, ...options};
+    this.#options = {
+      ...DEFAULT_BACKEND_TASK_OPTIONS,
+      responseMemory: new ResponseMemoryBudget(),
+      ...options,
+    };
   }
 
   /** Queues a message for this task. */
@@ -307,7 +319,7 @@
     connection: ServerConnection,
   ): Promise<void> {
     const {requestId, attempt, notRunHeader} = run;
-    const {dialect, bufferedResponseBytes, maxUndeclaredBytes} = this.#options;
+    const {dialect, bufferedResponseBytes, maxUndeclaredBytes, responseMemory} = this.#options;
     const {statusCode: status, body} = response;
     if (run.relayHostId !== undefined && response.headers[relayNotSentHeader] !== undefined) {
       body.on('error', () => undefined).destroy();
@@ -345,6 +357,7 @@
       framing,
       wasReset: () => connection.wasReset,
       onRead: () => connection.socket?.resumeReads(),
+      memory: responseMemory.open(),
       repeats: new RepeatedResponseDetector({
         requestNameHeader: dialect.requestNameHeader,
         attemptNames: connection.attemptNames,
--- a/packages/proxy/src/backends/bufferResponse.ts
+++ b/packages/proxy/src/backends/bufferResponse.ts
@@ -16,26 +16,35 @@
 }
 
 /**
- * Reads a small response body completely, so that a broken response is detected before any of it was sent to
- * the caller; a larger body is streamed. Fails where the body breaks off while it is read.
+ * Reads a small response body completely, so that a broken response is detected before any of it was sent to the caller; a
+ * larger body, and one for which no memory is left, is streamed. Fails where the body breaks off while it is read.
  */
 export async function bufferResponse(
   body: Readable,
   options: BufferResponseOptions,
 ): Promise<BufferedResponse> {
+  const {maxBytes, memory} = options;
   const chunks: Buffer[] = [];
   let bytes = 0;
   const checkedChunks = soundChunks(body, options);
-  while (bytes <= options.maxBytes) {
-    const next = await checkedChunks.next();
-    if (next.done === true) {
-      const whole = Readable.from(chunks);
-      return {body: whole, wholeBytes: bytes};
+  try {
+    for (let isHeld = true; isHeld && bytes <= maxBytes;) {
+      const next = await checkedChunks.next();
+      if (next.done === true) {
+        const whole = Readable.from(chunks);
+        whole.once('close', memory.release);
+        return {body: whole, wholeBytes: bytes};
+      }
+      chunks.push(next.value);
+      bytes += next.value.length;
+      isHeld = memory.tryTake(next.value.length);
     }
-    chunks.push(next.value);
-    bytes += next.value.length;
+  } catch (error) {
+    memory.release();
+    throw error;
   }
   const forwarded = new PassThrough();
+  forwarded.once('close', memory.release);
   forwarded.write(Buffer.concat(chunks));
   pipeline(Readable.from(checkedChunks), forwarded, () => {
     // A failure destroys `forwarded`, which breaks the caller's connection, so that the caller notices.
--- a/packages/proxy/src/backends/failureReasonOf.ts
+++ b/packages/proxy/src/backends/failureReasonOf.ts
@@ -3,6 +3,7 @@
   BrokenAnswerError,
   InterimResponsesError,
   RepeatedResponseError,
+  ResponseMemoryError,
   UndeclaredBodyError,
 } from '../errors/hostErrors.ts';
 
@@ -25,5 +26,8 @@
   if (error instanceof UndeclaredBodyError) {
     return 'undeclared-too-large';
   }
+  if (error instanceof ResponseMemoryError) {
+    return 'memory';
+  }
   return errorCode(error).startsWith('HPE_') ? 'protocol' : undefined;
 }
--- a/packages/proxy/src/backends/readUndeclaredBody.ts
+++ b/packages/proxy/src/backends/readUndeclaredBody.ts
@@ -1,8 +1,8 @@
 import {Readable} from 'node:stream';
-import {UndeclaredBodyError} from '../errors/hostErrors.ts';
+import {ResponseMemoryError, UndeclaredBodyError} from '../errors/hostErrors.ts';
+import type {BufferedResponse} from './bufferResponse.ts';
 import {soundChunks} from './soundChunks.ts';
 import type {SoundChunksOptions} from './soundChunks.ts';
-import type {BufferedResponse} from './bufferResponse.ts';
 
 /** Limits of reading a body whose end is not declared. */
 export interface ReadUndeclaredBodyOptions extends SoundChunksOptions {
@@ -10,15 +10,11 @@
   readonly maxBytes: number;
 }
 
-/**
- * Reads a body completely whose end only the close of its connection marks. It is passed on the same way, so that a caller
- * must not get any of it before its end is seen: what this host breaks off would look like the whole. Fails where the
- * connection is reset or the body is larger than allowed, as bytes without end are.
- */
-export async function readUndeclaredBody(
+/** Reads the chunks of a body; fails where the connection is reset, or where the body exceeds a limit. */
+async function readChunks(
   body: Readable,
   {maxBytes, ...options}: ReadUndeclaredBodyOptions,
-): Promise<BufferedResponse> {
+): Promise<{chunks: Buffer[]; wholeBytes: number}> {
   const chunks: Buffer[] = [];
   let wholeBytes = 0;
   for await (const chunk of soundChunks(body, options)) {
@@ -26,7 +22,31 @@
     if (wholeBytes > maxBytes) {
       throw new UndeclaredBodyError(`a body without a length exceeds ${maxBytes} bytes`);
     }
+    if (!options.memory.tryTake(chunk.length)) {
+      throw new ResponseMemoryError('the responses that are being read hold all memory for them');
+    }
     chunks.push(chunk);
   }
-  return {body: Readable.from(chunks), wholeBytes};
+  return {chunks, wholeBytes};
+}
+
+/**
+ * Reads a body completely whose end only the close of its connection marks. It is passed on the same way, so that a caller
+ * must not get any of it before its end is seen: what this host breaks off would look like the whole. Fails where the
+ * connection is reset or the body is larger than allowed, as bytes without end are.
+ */
+export async function readUndeclaredBody(
+  body: Readable,
+  options: ReadUndeclaredBodyOptions,
+): Promise<BufferedResponse> {
+  const {memory} = options;
+  try {
+    const {chunks, wholeBytes} = await readChunks(body, options);
+    const whole = Readable.from(chunks);
+    whole.once('close', memory.release);
+    return {body: whole, wholeBytes};
+  } catch (error) {
+    memory.release();
+    throw error;
+  }
 }
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -438,7 +438,7 @@
       await (this.#mustRecordResponse(exchange)
         ? pipeline(response.body, recorder, sliceChunks, outgoing)
         : pipeline(response.body, sliceChunks, outgoing));
-      this.#exchanges.delete(requestId);
+      this.#forget(exchange);
       this.#options.postToCore({
         type: 'attemptFinished',
         requestId,
@@ -446,7 +446,7 @@
         answer: recorder.answer,
       });
     } catch (error) {
-      this.#exchanges.delete(requestId);
+      this.#forget(exchange);
       breakOff(outgoing);
       this.#options.count('caller.answerBroken');
       this.#options.postToCore({
@@ -465,6 +465,15 @@
     return incoming.headers['idempotency-key'] !== undefined;
   }
 
+  /** Ends an exchange, and releases what its responses hold. */
+  #forget({requestId, responses}: Exchange): void {
+    this.#exchanges.delete(requestId);
+    for (const {body} of responses.values()) {
+      body.on('error', () => undefined).destroy();
+    }
+    responses.clear();
+  }
+
   /** Sends the stored response to an earlier request with the same idempotency key. */
   #replayResponse(
     {requestId, outgoing, requestName}: Exchange,
@@ -487,13 +496,14 @@
   }
 
   /** Refuses a request on command of the core; breaks the connection where the response has begun. */
-  #refuse(exchange: Exchange, {requestId, kind, outcome, retryAfterMs}: RefuseRequest): void {
-    this.#exchanges.delete(requestId);
+  #refuse(exchange: Exchange, {kind, outcome, retryAfterMs}: RefuseRequest): void {
     const {outgoing, incoming, requestName} = exchange;
     if (outgoing.headersSent || outgoing.destroyed) {
       breakOff(outgoing);
+      this.#forget(exchange);
       return;
     }
+    this.#forget(exchange);
     const {dialect, timers} = this.#options;
     this.#announceClose(outgoing);
     writeProblem(incoming, outgoing, kind, {
@@ -530,7 +540,7 @@
   #onClosed(requestId: number): void {
     const exchange = this.#exchanges.get(requestId);
     if (exchange !== undefined && !exchange.outgoing.writableFinished) {
-      this.#exchanges.delete(requestId);
+      this.#forget(exchange);
       const isBodyIncomplete = !exchange.incoming.complete;
       this.#options.postToCore({type: 'callerLeft', requestId, isBodyIncomplete});
     }
--- a/packages/proxy/src/errors/hostErrors.ts
+++ b/packages/proxy/src/errors/hostErrors.ts
@@ -24,6 +24,9 @@
 /** A response body whose end is not declared is larger than a host reads. */
 export const UndeclaredBodyError = HostError.subclass('UndeclaredBodyError');
 
+/** The memory for responses that are read completely does not hold another part of one. */
+export const ResponseMemoryError = HostError.subclass('ResponseMemoryError');
+
 /** A backend server sent more interim responses than any request needs. */
 export const InterimResponsesError = HostError.subclass('InterimResponsesError');
 
--- a/packages/proxy/src/host/gossipHost.ts
+++ b/packages/proxy/src/host/gossipHost.ts
@@ -1,5 +1,6 @@
 import {
   DEFAULT_INTAKE_OPTIONS,
+  ResponseMemoryBudget,
   SeededRandom,
   callerMemoryBytes,
   createGossipCore,
@@ -170,6 +171,7 @@
       },
     });
     const limits = {...DEFAULT_INTAKE_OPTIONS, ...options.limits};
+    const responseMemory = new ResponseMemoryBudget();
     this.#intake = new HostIntake({
       limits,
       timers,
@@ -189,6 +191,7 @@
         this.#log.write('warn', event, fields);
       },
       bufferedResponseBytes,
+      responseMemory,
       connectTimeoutMs,
       idleMs,
       dial: options.dial ?? dialTcp,
@@ -227,6 +230,7 @@
       },
     });
     this.#relay = new AttemptRelayTask({
+      responseMemory,
       intake: this.#intake,
       ...listenAddress(addresses.relay),
       connectTimeoutMs,
