Responses with transfer codings other than chunks are refused, and a 204 has no length

What callers saw: coded bytes as the body of a complete response, without the name of their coding; a 204 with a length. Cause: hop-by-hop fields are dropped, among them codings that the host does not decode. Change: any coding but chunked and identity, which is none, counts as malformed, also where a host relays; a length in a 204 is dropped.

--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -132,6 +132,8 @@
   };
 }
 
+const noContentStatus = 204;
+
 /** How the server marks the end of a response; a relaying host sends chunks and says where the server did not. */
 function framingOf(
   {method, relayHostId}: RunAttempt,
@@ -350,6 +352,10 @@
       });
     }
     const dropped = [...dialect.droppedResponseHeaders(notRunHeader), undeclaredEndHeader];
+    if (status === noContentStatus) {
+      // RFC 9110, section 8.6.
+      dropped.push('content-length');
+    }
     const headers = endToEndHeaders(response.headers, dropped);
     const framing = framingOf(run, response);
     this.#options.count('server.response', {framing});
--- a/packages/proxy/src/backends/bodyFramingOf.ts
+++ b/packages/proxy/src/backends/bodyFramingOf.ts
@@ -1,5 +1,6 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {BodyFraming} from '@godwitspring/core';
+import {TransferCodingError} from '../errors/hostErrors.ts';
 
 /** Head of a response, with the method of its request. */
 export interface FramedHead {
@@ -10,19 +11,25 @@
 
 const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
-/** The last transfer coding that a head names, in lower case; undefined where it names none. */
-function lastTransferCoding(headers: IncomingHttpHeaders): string | undefined {
-  return headers['transfer-encoding']?.split(',').at(-1)?.trim().toLowerCase();
+/** Transfer codings that a head names, in lower case; it may name them in several fields. */
+function transferCodings({'transfer-encoding': codings}: IncomingHttpHeaders): string | undefined {
+  return codings === undefined ? undefined : [codings].flat().join(',').trim().toLowerCase();
 }
 
-/** How a response that the HTTP parser accepted marks the end of its body (RFC 9112, section 6.3). */
+/**
+ * How a response that the HTTP parser accepted marks the end of its body (RFC 9112, section 6.3). Fails for transfer
+ * codings that no request of a host accepts: without them, callers would get coded bytes for the body.
+ */
 export function bodyFramingOf({method, statusCode, headers}: FramedHead): BodyFraming {
   if (method === 'HEAD' || statusesWithoutBody.has(statusCode)) {
     return 'none';
   }
-  const coding = lastTransferCoding(headers);
-  if (coding !== undefined) {
-    return coding === 'chunked' ? 'chunks' : 'close';
+  const codings = transferCodings(headers);
+  if (codings === 'chunked') {
+    return 'chunks';
+  }
+  if (codings !== undefined && codings !== 'identity') {
+    throw new TransferCodingError(`the transfer coding "${codings}" is not accepted`);
   }
   return headers['content-length'] === undefined ? 'close' : 'length';
 }
--- a/packages/proxy/src/errors/hostErrors.ts
+++ b/packages/proxy/src/errors/hostErrors.ts
@@ -24,6 +24,11 @@
 /** A response body whose end is not declared is larger than a host reads. */
 export const UndeclaredBodyError = HostError.subclass('UndeclaredBodyError');
 
+/** A backend server used a transfer coding that no request accepts; counts as malformed, as its code is that of an HTTP parser. */
+export const TransferCodingError = HostError.subclass('TransferCodingError', {
+  props: {code: 'HPE_INVALID_TRANSFER_ENCODING'},
+});
+
 /** The memory for responses that are read completely does not hold another part of one. */
 export const ResponseMemoryError = HostError.subclass('ResponseMemoryError');
 
