--- a/packages/bench/src/benchMain.ts
+++ b/packages/bench/src/benchMain.ts
@@ -1,5 +1,6 @@
 /** Runs measurements of the fleet against baselines and prints their tables and, at the end, all rows as JSON. */
 import {loadXxHash} from '@godwitspring/proxy';
+import {measureResponseEnds} from './response-ends/measureResponseEnds.ts';
 import {measureDataCentre} from './scenarios/dataCentreScenario.ts';
 import {measureDetection, measureNoise} from './scenarios/ejectionScenario.ts';
 import {fairnessCases, measureFairness} from './scenarios/fairnessScenario.ts';
@@ -20,8 +21,18 @@
 /** Seeds of the scenario `soak` where `--seed=N` names none. */
 const soakSeeds = Array.from({length: 10}, (_, index) => index + 1);
 const seedOption = '--seed=';
+/** Requests of each run of the scenario `response-ends` where `--requests=N` does not say how many. */
+const defaultRequests = 400;
+const requestsOption = '--requests=';
 const args = process.argv.slice(2);
 
+/** Numbers that an option gives, in order. */
+function numbersOf(option: string): number[] {
+  return args
+    .filter((arg) => arg.startsWith(option))
+    .map((arg) => Number(arg.slice(option.length)));
+}
+
 /** Scenarios by name; `npm run bench -- NAME…` runs only those named. */
 const scenarios: Readonly<Record<string, () => Promise<Row[]>>> = {
   scale: async () => {
@@ -77,8 +88,7 @@
   latency: () => measureLatency(),
   soak: async () => {
     const hash = await loadXxHash();
-    const named = args.filter((arg) => arg.startsWith(seedOption));
-    const seeds = named.map((arg) => Number(arg.slice(seedOption.length)));
+    const seeds = numbersOf(seedOption);
     return (seeds.length > 0 ? seeds : soakSeeds).map((seed) => {
       const result = runSoak(hash, seed);
       const {servers, requests, served, faults, violations} = result;
@@ -89,10 +99,19 @@
       return {seed, servers, requests, served, faults: faults.length, violated: violations.length};
     });
   },
+  'response-ends': async () => {
+    const [requests = defaultRequests] = numbersOf(requestsOption);
+    const seeds = numbersOf(seedOption);
+    const rows: Row[] = [];
+    for (const seed of seeds.length > 0 ? seeds : [1]) {
+      rows.push(...(await measureResponseEnds({seed, requests})));
+    }
+    return rows;
+  },
   placement: () => Promise.resolve(placementLoads.map((load) => measurePlacement(load))),
 };
 
-const selectedNames = args.filter((arg) => !arg.startsWith(seedOption));
+const selectedNames = args.filter((arg) => !arg.startsWith('--'));
 const results: Record<string, Row[]> = {};
 for (const [name, run] of Object.entries(scenarios)) {
   if (selectedNames.length > 0 && !selectedNames.includes(name)) {
--- /dev/null
+++ b/packages/bench/src/response-ends/classifyOutcome.ts
@@ -0,0 +1,56 @@
+import type {AttemptRecord, ReceivedResponse, Trial} from './trial.ts';
+
+/**
+ * Classes of outcomes.
+ *
+ * - `falselyDeclared`: a length or a last chunk says that the response is complete, and its body is not the whole body of
+ *   a server.
+ * - `falselyClosed`: an orderly close ends a response without a declared end, and the server did not close it in order.
+ * - `closedByKill`: the same where the host was killed; its kernel closes its connections.
+ * - `closedEarlyByServer`: as the server itself closed before its end, which nobody can tell from its end.
+ * - `declaredByServer`: the server itself filled the declared length with other bytes, which nobody can tell either.
+ * - `lost`: a server sent a sound response, and the caller did not get it whole.
+ * - `delivered`, `broken`, `refused`: whole; visibly broken off; no success.
+ */
+export const outcomeClasses = [
+  'falselyDeclared',
+  'falselyClosed',
+  'closedByKill',
+  'closedEarlyByServer',
+  'declaredByServer',
+  'lost',
+  'delivered',
+  'broken',
+  'refused',
+] as const;
+export type OutcomeClass = (typeof outcomeClasses)[number];
+
+/** Classifies what a caller received, by what the servers of its attempts did. */
+export function classifyOutcome(
+  {way, framing, end}: Pick<Trial, 'way' | 'framing' | 'end'>,
+  attempts: readonly AttemptRecord[],
+  {status, ending, digest}: ReceivedResponse,
+): OutcomeClass {
+  const isSound = attempts.some((one) => one.ending === 'whole');
+  if (status < 200 || status > 299) {
+    return isSound ? 'lost' : status === 0 ? 'broken' : 'refused';
+  }
+  if (ending === 'broken' || ending === 'waited') {
+    return isSound ? 'lost' : 'broken';
+  }
+  if (attempts.some(({wholeDigest}) => wholeDigest === digest)) {
+    return 'delivered';
+  }
+  if (ending === 'declared') {
+    const isServersOwn = framing === 'length' && attempts.some((one) => one.isLengthFilled);
+    return isServersOwn ? 'declaredByServer' : 'falselyDeclared';
+  }
+  const isAsClosed = attempts.some(
+    (one) => one.ending === 'closed' && one.writtenDigest === digest,
+  );
+  // A late copy shows by its head, also where the server closes in order after it.
+  if (isAsClosed && end !== 'lateCopy') {
+    return 'closedEarlyByServer';
+  }
+  return way === 'hostKilled' ? 'closedByKill' : 'falselyClosed';
+}
--- /dev/null
+++ b/packages/bench/src/response-ends/planResponse.ts
@@ -0,0 +1,186 @@
+import {createHash} from 'node:crypto';
+import {bodyOf} from './bodyOf.ts';
+import {lateHeadMs} from './drawTrial.ts';
+import {endsByClose} from './trial.ts';
+import type {AttemptRecord, Trial} from './trial.ts';
+
+/** One step of a server that sends a response. Steps follow each other in one turn, except after a wait or a flush. */
+export type ResponseStep =
+  | {readonly type: 'wait'; readonly waitMs: number}
+  /** Writes bytes; `payload` are those that are read as body where only the close ends it. */
+  | {readonly type: 'write'; readonly bytes: Buffer; readonly payload: Buffer}
+  /** Waits until the kernel has taken all bytes. */
+  | {readonly type: 'flush'}
+  /** Closes the connection in order. */
+  | {readonly type: 'close'}
+  | {readonly type: 'reset'}
+  /** Sends nothing more until the other side closes. */
+  | {readonly type: 'silence'}
+  /** Writes `part` again and again, until the other side closes or until `limitBytes` were written. */
+  | {readonly type: 'repeat'; readonly part: Buffer; readonly limitBytes: number}
+  /** Leaves the connection to the next request. */
+  | {readonly type: 'keep'};
+
+/** A response as its server will send it, and what the server means by it. */
+export interface PlannedResponse {
+  readonly steps: readonly ResponseStep[];
+  readonly wholeDigest: string;
+  /** How the steps end the response where the other side leaves them time. */
+  readonly ending: AttemptRecord['ending'];
+  readonly isLengthFilled: boolean;
+}
+
+/** Size of one write of bytes without end. */
+const repeatBytes = 16_384;
+/** Bound on bytes without end where the other side does not close, in bytes. */
+const maxRepeatBytes = 64_000_000;
+/** Last bytes before a reset, in bytes: they are written in one turn with it. */
+const lastPartBytes = 4_096;
+
+/** Digest by which bodies are compared. */
+export function digestOf(bytes: Buffer): string {
+  return createHash('sha256').update(bytes).digest('hex');
+}
+
+/** Head of the response to an attempt. */
+export function responseHead({id, framing, bodyBytes}: Trial, wholeDigest: string): Buffer {
+  const framingLines = {
+    length: [`Content-Length: ${bodyBytes}`],
+    chunked: ['Transfer-Encoding: chunked'],
+    none: ['Connection: close'],
+    http10: [],
+    identity: ['Transfer-Encoding: identity', 'Connection: close'],
+  }[framing];
+  const lines = [
+    `${framing === 'http10' ? 'HTTP/1.0' : 'HTTP/1.1'} 200 OK`,
+    `X-Godwitspring-Request-Id: ${id}`,
+    `X-Godwitspring-Server-Signature: ${wholeDigest}`,
+    'Content-Type: application/octet-stream',
+    ...framingLines,
+  ];
+  return Buffer.from(`${lines.join('\r\n')}\r\n\r\n`, 'latin1');
+}
+
+/** Builds the steps of one response. */
+class ResponsePlan {
+  readonly steps: ResponseStep[] = [];
+  readonly #isChunked: boolean;
+
+  constructor({framing}: Trial) {
+    this.#isChunked = framing === 'chunked';
+  }
+
+  /** Adds body bytes in the framing of the response. */
+  writeBody(payload: Buffer): void {
+    if (payload.length > 0) {
+      this.steps.push({type: 'write', bytes: this.frame(payload), payload});
+    }
+  }
+
+  /** Adds bytes outside the framing; where there is none, they are body as well. */
+  writeRaw(bytes: Buffer): void {
+    this.steps.push({type: 'write', bytes, payload: bytes});
+  }
+
+  writeHead(bytes: Buffer): void {
+    this.steps.push({type: 'write', bytes, payload: Buffer.alloc(0)});
+  }
+
+  /** Adds body bytes in parts, with pauses between them; the last part is no longer than `lastBytes`. */
+  writeParts(body: Buffer, {partBytes, partGapMs}: Trial, lastBytes: number): void {
+    const lastStart = Math.max(0, body.length - lastBytes);
+    for (let start = 0; start < lastStart; start += partBytes) {
+      this.writeBody(body.subarray(start, Math.min(lastStart, start + partBytes)));
+      this.pause(partGapMs);
+    }
+    this.writeBody(body.subarray(lastStart));
+  }
+
+  pause(waitMs: number): void {
+    this.steps.push({type: 'flush'}, {type: 'wait', waitMs});
+  }
+
+  frame(payload: Buffer): Buffer {
+    return this.#isChunked
+      ? Buffer.concat([
+          Buffer.from(`${payload.length.toString(16)}\r\n`),
+          payload,
+          Buffer.from('\r\n'),
+        ])
+      : payload;
+  }
+}
+
+/**
+ * Plans the response to an attempt. `copy` is an earlier response of the connection, if there is one.
+ */
+export function planResponse(
+  trial: Trial,
+  attempt: number,
+  copy: Buffer | undefined,
+): PlannedResponse {
+  const {id, bodyBytes, plannedAttempt, way} = trial;
+  const body = bodyOf(id, attempt, bodyBytes);
+  const wholeDigest = digestOf(body);
+  const plan = new ResponsePlan(trial);
+  const isLate = way === 'hedge' && attempt === 1;
+  const head = responseHead(trial, wholeDigest);
+  plan.pause(isLate ? lateHeadMs : trial.headDelayMs);
+  plan.writeHead(head);
+  const end = attempt === plannedAttempt ? trial.end : 'whole';
+  const planned = {steps: plan.steps, wholeDigest};
+  if (end === 'whole') {
+    plan.writeParts(body, trial, trial.partBytes);
+    finish(plan, trial);
+    return {...planned, ending: 'whole', isLengthFilled: false};
+  }
+  const start = body.subarray(0, trial.cutBytes);
+  const isLastPartShort = trial.partGapMs > 0 && (end === 'resetSameTurn' || end === 'resetLater');
+  plan.writeParts(start, trial, isLastPartShort ? lastPartBytes : trial.partBytes);
+  const restBytes = bodyBytes - trial.cutBytes;
+  switch (end) {
+    case 'closedEarly':
+      plan.steps.push({type: 'close'});
+      return {...planned, ending: 'closed', isLengthFilled: false};
+    case 'resetSameTurn':
+      plan.steps.push({type: 'reset'});
+      return {...planned, ending: 'reset', isLengthFilled: false};
+    case 'resetLater':
+      plan.pause(trial.resetDelayMs);
+      plan.steps.push({type: 'reset'});
+      return {...planned, ending: 'reset', isLengthFilled: false};
+    case 'silence':
+      plan.steps.push({type: 'silence'});
+      return {...planned, ending: 'open', isLengthFilled: false};
+    case 'otherBytes': {
+      plan.writeRaw(Buffer.alloc(trial.extraBytes, '#'));
+      plan.steps.push({type: 'close'});
+      return {...planned, ending: 'closed', isLengthFilled: trial.extraBytes >= restBytes};
+    }
+    case 'endless':
+    case 'endlessThenClose': {
+      const other = Buffer.alloc(repeatBytes, '#');
+      const part = trial.isExtraFramed ? plan.frame(other) : other;
+      const limitBytes = end === 'endless' ? maxRepeatBytes : trial.extraBytes;
+      plan.steps.push({type: 'repeat', part, limitBytes});
+      plan.steps.push(end === 'endless' ? {type: 'silence'} : {type: 'close'});
+      const ending = end === 'endless' ? 'open' : 'closed';
+      return {...planned, ending, isLengthFilled: limitBytes >= restBytes};
+    }
+    case 'lateCopy': {
+      const earlier = copy ?? head;
+      plan.writeRaw(earlier);
+      plan.writeParts(body.subarray(trial.cutBytes), trial, trial.partBytes);
+      finish(plan, trial);
+      return {...planned, ending: 'closed', isLengthFilled: restBytes < head.length};
+    }
+  }
+}
+
+/** Ends a response as its framing wants it. */
+function finish(plan: ResponsePlan, trial: Trial): void {
+  if (trial.framing === 'chunked') {
+    plan.writeHead(Buffer.from('0\r\n\r\n'));
+  }
+  plan.steps.push(endsByClose(trial) ? {type: 'close'} : {type: 'keep'});
+}
--- /dev/null
+++ b/packages/bench/src/response-ends/trialFleet.ts
@@ -0,0 +1,199 @@
+import {execFileSync} from 'node:child_process';
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {HostProcess, hostPorts} from './hostProcess.ts';
+import {PlatformStore} from './platformStore.ts';
+import {RunningTrials} from './runningTrials.ts';
+import {hostName, sendTrial} from './sendTrial.ts';
+import type {ReceivedResponse, Trial} from './trial.ts';
+import {TrialServer, healthPath} from './trialServer.ts';
+
+const repositoryRoot = fileURLToPath(new URL('../../../../', import.meta.url));
+/** Loopback network of the fleet. */
+const subnet = '127.81';
+const serverPort = 8_090;
+const storePort = 8_600;
+const serverCount = 16;
+/** Requests that one server processes at a time. */
+const serverSlots = 24;
+/** Hosts that serve callers from the start to the end of a run. */
+const steadyHosts = 3;
+/** Numbers of the host that reaches no server, of the one that is stopped and of the one that is killed. */
+const cutOffHost = 4;
+const stoppedHost = 5;
+const killedHost = 6;
+const hostNumbers = [1, 2, 3, cutOffHost, stoppedHost, killedHost];
+
+/** Timeout of the route of uploads, in ms. */
+const timeoutMs = 3_000;
+/** Timeout of the route whose responses meet it while they run, in ms. */
+const shortTimeoutMs = 700;
+/** Target latency of the route whose late attempts are hedged, in ms. */
+const targetLatencyMs = 500;
+
+function hostIp(number: number): string {
+  return `${subnet}.1.${number}`;
+}
+
+function serverIp(number: number): string {
+  return `${subnet}.2.${number}`;
+}
+
+/** Values of the platform's store: the configuration of the operators and the entries of the servers. */
+function storeValues(): Map<string, unknown> {
+  const route = (name: string, fields: object): object => ({
+    host: hostName,
+    prefix: `/${name}/`,
+    service: 's',
+    public: true,
+    maxAttempts: 2,
+    timeout: `${timeoutMs}ms`,
+    targetLatency: `${targetLatencyMs}ms`,
+    ...fields,
+  });
+  const values = new Map<string, unknown>([
+    [
+      'op/config',
+      {
+        version: '00000001',
+        routes: {
+          'r-upload': route('upload', {routeType: 'upload'}),
+          'r-safe': route('safe', {routeType: 'safe'}),
+          'r-short': route('short', {routeType: 'upload', timeout: `${shortTimeoutMs}ms`}),
+        },
+        services: {s: {healthPath, maxConns: 1_000}},
+        limits: {
+          maxHeaderBytes: 16_384,
+          maxBodyBytes: 67_108_864,
+          headerTimeout: '3000ms',
+          idleTimeout: '15000ms',
+        },
+      },
+    ],
+  ]);
+  for (let number = 1; number <= serverCount; number += 1) {
+    values.set(`servers/i-${number}`, {
+      service: 's',
+      address: `${serverIp(number)}:${serverPort}`,
+      zone: 'z-1',
+      version: 'v1',
+      capacity: serverSlots,
+      state: 'ready',
+      warmupLeft: '0ms',
+      sequence: 1,
+    });
+  }
+  return values;
+}
+
+/** Writes the program of the platform, and what cuts a host off from its servers, as one file each. */
+function bundlePrograms(folder: string): void {
+  const entries = [
+    {outFile: join(folder, 'host.cjs'), entry: 'platform/src/main.ts'},
+    {
+      outFile: join(folder, 'cut.cjs'),
+      entry: 'packages/bench/src/response-ends/cutOffFromServers.ts',
+    },
+  ];
+  const script = `
+    const {bundle} = await import('./scripts/bundle.mjs');
+    for (const entry of ${JSON.stringify(entries)}) {
+      await bundle(entry);
+    }
+  `;
+  execFileSync(process.execPath, ['--input-type=module', '-e', script], {
+    cwd: repositoryRoot,
+    env: {...process.env, NODE_OPTIONS: ''},
+  });
+}
+
+/** Whole platform hosts in processes of their own, on loopback, before servers on plain sockets in this process. */
+export class TrialFleet {
+  readonly trials = new RunningTrials();
+  readonly #folder = mkdtempSync(join(tmpdir(), 'godwitspring-response-ends-'));
+  readonly #hosts = new Map<number, HostProcess>();
+  readonly #servers: TrialServer[] = [];
+  readonly #store = new PlatformStore(storeValues());
+  #overdueStops = 0;
+
+  /** Folder of the settings and logs of the hosts. */
+  get folder(): string {
+    return this.#folder;
+  }
+
+  /** Starts servers and hosts, and waits until every host is ready. */
+  async start(): Promise<void> {
+    bundlePrograms(this.#folder);
+    await this.#store.start(`${subnet}.0.1`, storePort);
+    for (let number = 1; number <= serverCount; number += 1) {
+      const server = new TrialServer({
+        id: `i-${number}`,
+        ip: serverIp(number),
+        port: serverPort,
+        trials: this.trials,
+      });
+      this.#servers.push(server);
+      await server.start();
+    }
+    for (const number of hostNumbers) {
+      const host = new HostProcess({
+        ip: hostIp(number),
+        folder: this.#folder,
+        storeAddress: `${subnet}.0.1:${storePort}`,
+        seedIps: [1, 2, 3].map(hostIp),
+        ...(number === cutOffHost ? {cutPrefix: `${subnet}.2.`} : {}),
+      });
+      this.#hosts.set(number, host);
+      host.start(true);
+    }
+    await Promise.all([...this.#hosts.values()].map((host) => host.waitUntilReady()));
+  }
+
+  /** Ends all processes and servers; keeps the logs where `keepsLogs`. */
+  async stop({keepsLogs = false} = {}): Promise<void> {
+    await Promise.all([...this.#hosts.values()].map((host) => host.end('SIGKILL')));
+    for (const server of this.#servers) {
+      server.stop();
+    }
+    this.#store.stop();
+    if (!keepsLogs) {
+      rmSync(this.#folder, {recursive: true});
+    }
+  }
+
+  /** Sends the request of a trial to the host of its way. */
+  async send(trial: Trial, number: number): Promise<ReceivedResponse> {
+    const hostNumber = {
+      relay: cutOffHost,
+      plannedStop: stoppedHost,
+      hostKilled: killedHost,
+    }[trial.way as string];
+    const ip = hostIp(hostNumber ?? 1 + (number % steadyHosts));
+    return sendTrial(trial, ip, hostPorts.callers);
+  }
+
+  /** Ends the host of a way while its requests run, and starts it again. */
+  async restart(way: 'plannedStop' | 'hostKilled'): Promise<void> {
+    const host = this.#hosts.get(way === 'plannedStop' ? stoppedHost : killedHost);
+    const hasEnded = await host?.end(way === 'plannedStop' ? 'SIGTERM' : 'SIGKILL');
+    this.#overdueStops += hasEnded === false ? 1 : 0;
+    host?.start(false);
+    await host?.waitUntilReady();
+  }
+
+  /** Planned stops after which the process did not end by itself. */
+  get overdueStops(): number {
+    return this.#overdueStops;
+  }
+
+  /** Attempts that hosts relayed for the host that is cut off; those of hosts that ended meanwhile are not counted. */
+  async relayedAttempts(): Promise<number> {
+    let relayed = 0;
+    for (const host of this.#hosts.values()) {
+      relayed += await host.counter('godwitspring_relay_forwarded_total');
+    }
+    return relayed;
+  }
+}
