Bench: trials of response ends count sound responses that are cut as lost

Change: 200 servers, as a host avoids each for 9 s after a broken response; table of losses by reason.

--- a/packages/bench/src/response-ends/classifyOutcome.ts
+++ b/packages/bench/src/response-ends/classifyOutcome.ts
@@ -9,7 +9,7 @@
  * - `closedByKill`: the same where the host was killed; its kernel closes its connections.
  * - `closedEarlyByServer`: as the server itself closed before its end, which nobody can tell from its end.
  * - `declaredByServer`: the server itself filled the declared length with other bytes, which nobody can tell either.
- * - `lost`: a server sent a sound response, and the caller did not get it whole.
+ * - `lost`: all attempts got sound responses, and the caller did not get one whole.
  * - `delivered`, `broken`, `refused`: whole; visibly broken off; no success.
  */
 export const outcomeClasses = [
@@ -31,7 +31,7 @@
   attempts: readonly AttemptRecord[],
   {status, ending, digest}: ReceivedResponse,
 ): OutcomeClass {
-  const isSound = attempts.some((one) => one.ending === 'whole');
+  const isSound = attempts.length > 0 && attempts.every((one) => one.isSound);
   if (status < 200 || status > 299) {
     return isSound ? 'lost' : status === 0 ? 'broken' : 'refused';
   }
--- a/packages/bench/src/response-ends/measureResponseEnds.ts
+++ b/packages/bench/src/response-ends/measureResponseEnds.ts
@@ -5,6 +5,7 @@
 import {
   describeFindings,
   tabulateFindings,
+  tabulateLosses,
   tabulateTotals,
   violationClasses,
 } from './tabulateOutcomes.ts';
@@ -26,6 +27,7 @@
     print(`  ${await fleet.relayedAttempts()} attempts relayed, ${hedged} requests hedged`);
     print(`  ${fleet.overdueStops} planned stops after which the process had to be killed`);
     print(`${renderTable(tabulateFindings(outcomes))}\n`);
+    print(`${renderTable(tabulateLosses(outcomes))}\n`);
     for (const field of ['framing', 'end', 'way'] as const) {
       print(`${renderTable(tabulateTotals(outcomes, field))}\n`);
     }
--- a/packages/bench/src/response-ends/responseWriter.ts
+++ b/packages/bench/src/response-ends/responseWriter.ts
@@ -20,6 +20,7 @@
     this.record = {
       attempt,
       wholeDigest: planned.wholeDigest,
+      isSound: planned.ending === 'whole',
       writtenBytes: 0,
       writtenDigest: undefined,
       ending: 'open',
--- a/packages/bench/src/response-ends/tabulateOutcomes.ts
+++ b/packages/bench/src/response-ends/tabulateOutcomes.ts
@@ -54,6 +54,26 @@
   return count(outcomes, ({trial}) => ({[field]: trial[field]}));
 }
 
+/** Sound responses that were not delivered, by framing, size, way and what their callers got instead. */
+export function tabulateLosses(outcomes: readonly TrialOutcome[]): Row[] {
+  const rows = new Map<string, Row>();
+  for (const {outcome, trial, received} of outcomes) {
+    if (outcome !== 'lost') {
+      continue;
+    }
+    const kind = /"kind":"([a-z-]+)"/.exec(received.refusal)?.[1] ?? received.ending;
+    const fields = {
+      framing: trial.framing,
+      size: sizeClassOf(trial.bodyBytes),
+      way: trial.way,
+      reason: `${received.status} ${kind}`,
+    };
+    const key = Object.values(fields).join(' ');
+    rows.set(key, {...fields, lost: Number(rows.get(key)?.['lost'] ?? 0) + 1});
+  }
+  return [...rows].sort(([one], [other]) => (one < other ? -1 : 1)).map(([, row]) => row);
+}
+
 /** One line of JSON for each violation and each lost response, with its seed and what was sent and received. */
 export function describeFindings(outcomes: readonly TrialOutcome[]): string[] {
   return outcomes
--- a/packages/bench/src/response-ends/trial.ts
+++ b/packages/bench/src/response-ends/trial.ts
@@ -77,6 +77,8 @@
   readonly attempt: number;
   /** Digest of the whole body that the server meant to send. */
   readonly wholeDigest: string;
+  /** True where the server meant to send a whole response and to end it as its framing wants. */
+  readonly isSound: boolean;
   /** Body bytes that the server wrote so far, with other bytes in place of body bytes. */
   writtenBytes: number;
   /** Digest of the bytes that the server wrote; undefined until it closed the connection in order. */
--- a/packages/bench/src/response-ends/trialFleet.ts
+++ b/packages/bench/src/response-ends/trialFleet.ts
@@ -15,9 +15,10 @@
 const subnet = '127.81';
 const serverPort = 8_090;
 const storePort = 8_600;
-const serverCount = 16;
+/** Servers; a host avoids one for 9 s after a broken response, so that a run needs many. */
+const serverCount = 200;
 /** Requests that one server processes at a time. */
-const serverSlots = 24;
+const serverSlots = 6;
 /** Hosts that serve callers from the start to the end of a run. */
 const steadyHosts = 3;
 /** Numbers of the host that reaches no server, of the one that is stopped and of the one that is killed. */
