Test: responses on whole hosts are declared whole only where they are

Cause: no test plays how responses end on whole hosts in processes of their own, over all framings, ends and ways.

--- /dev/null
+++ b/packages/bench/src/__tests__/responseEnds.test.ts
@@ -0,0 +1,65 @@
+import {expect} from 'chai';
+import type {OutcomeClass} from '../response-ends/classifyOutcome.ts';
+import {TrialRunner} from '../response-ends/runTrials.ts';
+import type {TrialOutcome, TrialRun} from '../response-ends/runTrials.ts';
+import {describeFindings} from '../response-ends/tabulateOutcomes.ts';
+import type {Way} from '../response-ends/trial.ts';
+import {TrialFleet} from '../response-ends/trialFleet.ts';
+
+const seed = 7;
+const requests = 240;
+/** Subnets of this test; those of the bench program differ, so that both may run at a time. */
+const firstSubnet = 10;
+/** Ways on which neither the host nor a timeout ends a response. */
+const undisturbedWays: readonly Way[] = ['alone', 'relay', 'hedge', 'slowReader', 'http10Caller'];
+
+describe('responses through whole hosts, ended by their servers in each way', function () {
+  this.timeout(60_000);
+  const fleet = new TrialFleet({firstSubnet});
+  let result: TrialRun = {outcomes: [], relayedAttempts: 0};
+
+  before(async () => {
+    await fleet.start();
+    result = await new TrialRunner(fleet).run({seed, requests});
+  });
+
+  after(async () => {
+    await fleet.stop();
+  });
+
+  function findingsOf(outcome: OutcomeClass): TrialOutcome[] {
+    return result.outcomes.filter((one) => one.outcome === outcome);
+  }
+
+  // Guards against trials that say nothing as most requests are refused, none is relayed or none is hedged.
+  it('reach their callers on each way', () => {
+    for (const way of undisturbedWays) {
+      const delivered = findingsOf('delivered').filter(({trial}) => trial.way === way);
+      expect(delivered.length, way).to.be.above(0);
+    }
+    expect(result.relayedAttempts, 'relayed attempts').to.be.above(0);
+    const hedged = result.outcomes.filter(
+      ({trial, attempts}) => trial.way === 'hedge' && attempts.length > 1,
+    );
+    expect(hedged.length, 'hedged requests').to.be.above(0);
+  });
+
+  // Guards against hosts that declare the end of a response that its server broke off.
+  it('are declared whole only where they are', () => {
+    expect(describeFindings(findingsOf('falselyDeclared'))).to.deep.equal([]);
+  });
+
+  // Guards against hosts that take a reset, a silence or their own stop for the end of a response without a length.
+  it('are closed in order only where their servers did', () => {
+    expect(describeFindings(findingsOf('falselyClosed'))).to.deep.equal([]);
+  });
+
+  // Guards against hosts that break off what is sound in order to be safe.
+  it('are delivered whole where their servers declared the end', () => {
+    const lost = findingsOf('lost').filter(
+      ({trial: {way, framing}}) =>
+        undisturbedWays.includes(way) && (framing === 'length' || framing === 'chunked'),
+    );
+    expect(describeFindings(lost)).to.deep.equal([]);
+  });
+});
--- a/packages/bench/src/response-ends/measureResponseEnds.ts
+++ b/packages/bench/src/response-ends/measureResponseEnds.ts
@@ -19,12 +19,12 @@
   };
   try {
     await fleet.start();
-    const outcomes = await new TrialRunner(fleet).run(options);
+    const {outcomes, relayedAttempts} = await new TrialRunner(fleet).run(options);
     const hedged = outcomes.filter(
       ({trial, attempts}) => trial.way === 'hedge' && attempts.length > 1,
     ).length;
     print(`  seed ${options.seed}, ${outcomes.length} requests, logs in ${fleet.folder}`);
-    print(`  ${await fleet.relayedAttempts()} attempts relayed, ${hedged} requests hedged`);
+    print(`  ${relayedAttempts} attempts relayed, ${hedged} requests hedged`);
     print(`  ${fleet.overdueStops} planned stops after which the process had to be killed`);
     print(`${renderTable(tabulateFindings(outcomes))}\n`);
     print(`${renderTable(tabulateLosses(outcomes))}\n`);
--- a/packages/bench/src/response-ends/runTrials.ts
+++ b/packages/bench/src/response-ends/runTrials.ts
@@ -23,6 +23,13 @@
   readonly outcome: OutcomeClass;
 }
 
+/** Result of a run. */
+export interface TrialRun {
+  readonly outcomes: readonly TrialOutcome[];
+  /** Attempts that hosts relayed for the host that is cut off, before any of them ended. */
+  readonly relayedAttempts: number;
+}
+
 /** Number and seed of the requests of a run. */
 export interface RunTrialsOptions {
   readonly seed: number;
@@ -38,7 +45,7 @@
     this.#fleet = fleet;
   }
 
-  async run({seed, requests}: RunTrialsOptions): Promise<readonly TrialOutcome[]> {
+  async run({seed, requests}: RunTrialsOptions): Promise<TrialRun> {
     const random = new SeededRandom(seed);
     const trials = Array.from({length: requests}, (_, number) =>
       drawTrial(random, {seed, number, way: ways[number % ways.length] ?? 'alone'}),
@@ -52,12 +59,13 @@
         }
       }),
     );
+    const relayedAttempts = await this.#fleet.relayedAttempts();
     const of = (way: Trial['way']): Trial[] => trials.filter((trial) => trial.way === way);
     await Promise.all([
       this.#runWithRestarts('plannedStop', of('plannedStop'), new SeededRandom(seed + 1)),
       this.#runWithRestarts('hostKilled', of('hostKilled'), new SeededRandom(seed + 2)),
     ]);
-    return this.#outcomes;
+    return {outcomes: this.#outcomes, relayedAttempts};
   }
 
   async #runWithRestarts(
--- a/packages/bench/src/response-ends/trialFleet.ts
+++ b/packages/bench/src/response-ends/trialFleet.ts
@@ -11,8 +11,8 @@
 import {TrialServer, healthPath} from './trialServer.ts';
 
 const repositoryRoot = fileURLToPath(new URL('../../../../', import.meta.url));
-/** Loopback network of the fleet. */
-const subnet = '127.81';
+/** Loopback network of all fleets. */
+const network = '127.81';
 const serverPort = 8_090;
 const storePort = 8_600;
 /** Servers; a host avoids one for 9 s after a broken response, so that a run needs many. */
@@ -34,16 +34,8 @@
 /** Target latency of the route whose late attempts are hedged, in ms. */
 const targetLatencyMs = 500;
 
-function hostIp(number: number): string {
-  return `${subnet}.1.${number}`;
-}
-
-function serverIp(number: number): string {
-  return `${subnet}.2.${number}`;
-}
-
 /** Values of the platform's store: the configuration of the operators and the entries of the servers. */
-function storeValues(): Map<string, unknown> {
+function storeValues(serverIp: (number: number) => string): Map<string, unknown> {
   const route = (name: string, fields: object): object => ({
     host: hostName,
     prefix: `/${name}/`,
@@ -110,15 +102,29 @@
   });
 }
 
+/** Settings of a fleet. */
+export interface TrialFleetOptions {
+  /** First of three subnets of `127.81`, for the store, the hosts and the servers. Default: 0. */
+  readonly firstSubnet: number;
+}
+
+export const DEFAULT_TRIAL_FLEET_OPTIONS = {firstSubnet: 0} as const;
+
 /** Whole platform hosts in processes of their own, on loopback, before servers on plain sockets in this process. */
 export class TrialFleet {
   readonly trials = new RunningTrials();
   readonly #folder = mkdtempSync(join(tmpdir(), 'godwitspring-response-ends-'));
   readonly #hosts = new Map<number, HostProcess>();
   readonly #servers: TrialServer[] = [];
-  readonly #store = new PlatformStore(storeValues());
+  readonly #store: PlatformStore;
+  readonly #firstSubnet: number;
   #overdueStops = 0;
 
+  constructor(options: Partial<TrialFleetOptions> = {}) {
+    this.#firstSubnet = {...DEFAULT_TRIAL_FLEET_OPTIONS, ...options}.firstSubnet;
+    this.#store = new PlatformStore(storeValues((number) => this.#serverIp(number)));
+  }
+
   /** Folder of the settings and logs of the hosts. */
   get folder(): string {
     return this.#folder;
@@ -127,11 +133,12 @@
   /** Starts servers and hosts, and waits until every host is ready. */
   async start(): Promise<void> {
     bundlePrograms(this.#folder);
-    await this.#store.start(`${subnet}.0.1`, storePort);
+    const storeIp = `${this.#subnet(0)}.1`;
+    await this.#store.start(storeIp, storePort);
     for (let number = 1; number <= serverCount; number += 1) {
       const server = new TrialServer({
         id: `i-${number}`,
-        ip: serverIp(number),
+        ip: this.#serverIp(number),
         port: serverPort,
         trials: this.trials,
       });
@@ -140,11 +147,11 @@
     }
     for (const number of hostNumbers) {
       const host = new HostProcess({
-        ip: hostIp(number),
+        ip: this.#hostIp(number),
         folder: this.#folder,
-        storeAddress: `${subnet}.0.1:${storePort}`,
-        seedIps: [1, 2, 3].map(hostIp),
-        ...(number === cutOffHost ? {cutPrefix: `${subnet}.2.`} : {}),
+        storeAddress: `${storeIp}:${storePort}`,
+        seedIps: [1, 2, 3].map((seed) => this.#hostIp(seed)),
+        ...(number === cutOffHost ? {cutPrefix: `${this.#subnet(2)}.`} : {}),
       });
       this.#hosts.set(number, host);
       host.start(true);
@@ -171,7 +178,7 @@
       plannedStop: stoppedHost,
       hostKilled: killedHost,
     }[trial.way as string];
-    const ip = hostIp(hostNumber ?? 1 + (number % steadyHosts));
+    const ip = this.#hostIp(hostNumber ?? 1 + (number % steadyHosts));
     return sendTrial(trial, ip, hostPorts.callers);
   }
 
@@ -189,7 +196,7 @@
     return this.#overdueStops;
   }
 
-  /** Attempts that hosts relayed for the host that is cut off; those of hosts that ended meanwhile are not counted. */
+  /** Attempts that hosts relayed for the host that is cut off, since each of them started. */
   async relayedAttempts(): Promise<number> {
     let relayed = 0;
     for (const host of this.#hosts.values()) {
@@ -197,4 +204,16 @@
     }
     return relayed;
   }
+
+  #subnet(offset: number): string {
+    return `${network}.${this.#firstSubnet + offset}`;
+  }
+
+  #hostIp(number: number): string {
+    return `${this.#subnet(1)}.${number}`;
+  }
+
+  #serverIp(number: number): string {
+    return `${this.#subnet(2)}.${number}`;
+  }
 }
