Test: planned stops, kills of relaying hosts and three forms of late copies in the trials of response ends

Cause: the trials had no relaying host that ends, no HTTP/1.0 caller before a host that ends, and only copies with a head. Change: ways relayStopped and relayKilled; callers of HTTP/1.0 on the ways that end a host; copies without a name or without a head; a test of a planned stop while servers are silent. Callers of HTTP/1.0 get 600,000 of 900,000 bytes and an orderly close for http10, identity, none and chunked; with a length, and for callers of HTTP/1.1, the response is broken.

--- a/packages/bench/src/__tests__/responseEnds.test.ts
+++ b/packages/bench/src/__tests__/responseEnds.test.ts
@@ -1,8 +1,11 @@
+import {SeededRandom} from '@godwitspring/core';
 import {expect} from 'chai';
 import type {OutcomeClass} from '../response-ends/classifyOutcome.ts';
+import {drawTrial} from '../response-ends/drawTrial.ts';
 import {TrialRunner} from '../response-ends/runTrials.ts';
 import type {TrialOutcome, TrialRun} from '../response-ends/runTrials.ts';
 import {describeFindings} from '../response-ends/tabulateOutcomes.ts';
+import {framings} from '../response-ends/trial.ts';
 import type {Way} from '../response-ends/trial.ts';
 import {TrialFleet} from '../response-ends/trialFleet.ts';
 
@@ -62,4 +65,33 @@
     );
     expect(describeFindings(lost)).to.deep.equal([]);
   });
+
+  // Guards against a stop that closes the connections of callers in order while responses without a declared end run.
+  it('are visibly broken off by a planned stop', async () => {
+    const random = new SeededRandom(seed);
+    const frames = (['1.0', '1.1'] as const).flatMap((callerVersion) =>
+      framings.map((framing) => ({callerVersion, framing})),
+    );
+    const trials = frames.map((frame, index) =>
+      drawTrial(random, {
+        ...frame,
+        seed,
+        number: requests + index,
+        way: 'plannedStop',
+        end: 'silence',
+        // More than a host buffers, so that the response has begun when the host ends.
+        bodyBytes: 900_000,
+        cutBytes: 600_000,
+      }),
+    );
+    const {outcomes} = await new TrialRunner(fleet).runTrials(trials, seed);
+    const received = outcomes.map(({trial, received: {status, ending}}) => ({
+      framing: trial.framing,
+      callerVersion: trial.callerVersion,
+      status,
+      ending,
+    }));
+    const expected = received.map((one) => ({...one, status: 200, ending: 'broken'}));
+    expect(received).to.deep.equal(expected);
+  });
 });
--- a/packages/bench/src/response-ends/classifyOutcome.ts
+++ b/packages/bench/src/response-ends/classifyOutcome.ts
@@ -1,3 +1,4 @@
+import {endsByClose} from './trial.ts';
 import type {AttemptRecord, ReceivedResponse, Trial} from './trial.ts';
 
 /**
@@ -8,7 +9,7 @@
  * - `falselyClosed`: an orderly close ends a response without a declared end, and the server did not close it in order.
  * - `closedByKill`: the same where the host was killed; its kernel closes its connections.
  * - `closedEarlyByServer`: as the server itself closed before its end, which nobody can tell from its end.
- * - `declaredByServer`: the server itself filled the declared length with other bytes, which nobody can tell either.
+ * - `declaredByServer`: the server itself filled the declared length with other bytes, or sent a last chunk within them.
  * - `lost`: all attempts got sound responses, and the caller did not get one whole.
  * - `delivered`, `broken`, `refused`: whole; visibly broken off; no success.
  */
@@ -27,7 +28,7 @@
 
 /** Classifies what a caller received, by what the servers of its attempts did. */
 export function classifyOutcome(
-  {way, framing, end}: Pick<Trial, 'way' | 'framing' | 'end'>,
+  {way, framing, end, copyForm}: Pick<Trial, 'way' | 'framing' | 'end' | 'copyForm'>,
   attempts: readonly AttemptRecord[],
   {status, ending, digest}: ReceivedResponse,
 ): OutcomeClass {
@@ -41,15 +42,17 @@
   if (attempts.some(({wholeDigest}) => wholeDigest === digest)) {
     return 'delivered';
   }
+  if (!endsByClose({framing}) && attempts.some((one) => one.isDeclaredByServer)) {
+    return 'declaredByServer';
+  }
   if (ending === 'declared') {
-    const isServersOwn = framing === 'length' && attempts.some((one) => one.isLengthFilled);
-    return isServersOwn ? 'declaredByServer' : 'falselyDeclared';
+    return 'falselyDeclared';
   }
   const isAsClosed = attempts.some(
     (one) => one.ending === 'closed' && one.writtenDigest === digest,
   );
-  // A late copy shows by its head, also where the server closes in order after it.
-  if (isAsClosed && end !== 'lateCopy') {
+  // A whole late copy shows by its head, also where the server closes in order after it.
+  if (isAsClosed && !(end === 'lateCopy' && copyForm === 'whole')) {
     return 'closedEarlyByServer';
   }
   return way === 'hostKilled' ? 'closedByKill' : 'falselyClosed';
--- a/packages/bench/src/response-ends/drawTrial.ts
+++ b/packages/bench/src/response-ends/drawTrial.ts
@@ -1,5 +1,5 @@
 import type {RandomSource} from '@godwitspring/core';
-import {bodySizes, endsByClose, framings, responseEnds} from './trial.ts';
+import {bodySizes, copyForms, endsByClose, endsHost, framings, responseEnds} from './trial.ts';
 import type {Framing, ResponseEnd, Trial, Way} from './trial.ts';
 
 /** Size of a body that exceeds what the kernel buffers for a slow reader, in bytes. */
@@ -20,10 +20,12 @@
   readonly seed: number;
   readonly number: number;
   readonly way: Way;
-  /** Fixed framing, end and size; drawn where absent. */
+  /** Drawn where absent, as are those below. */
   readonly framing?: Framing;
   readonly end?: ResponseEnd;
   readonly bodyBytes?: number;
+  readonly cutBytes?: number;
+  readonly callerVersion?: Trial['callerVersion'];
 }
 
 function pick<Item>(random: RandomSource, items: readonly Item[]): Item {
@@ -49,6 +51,12 @@
   }
 }
 
+/** Draws the version of the caller; one of HTTP/1.0 learns the end of a body by the close of its connection. */
+function drawCallerVersion(random: RandomSource, way: Way): Trial['callerVersion'] {
+  const isMixed = way === 'timeout' || way === 'relay' || endsHost(way);
+  return way === 'http10Caller' || (isMixed && random.nextInt(4) === 0) ? '1.0' : '1.1';
+}
+
 function drawMethod(random: RandomSource, way: Way): Pick<Trial, 'method' | 'uploadBytes'> {
   // A body that is too large to be sent again would keep the request from being hedged.
   const sizes = way === 'hedge' ? uploadSizes.slice(0, -1) : uploadSizes;
@@ -63,7 +71,7 @@
   way: Way,
   cutBytes: number,
 ): Pick<Trial, 'partBytes' | 'partGapMs'> {
-  const isCutShort = way === 'timeout' || way === 'plannedStop' || way === 'hostKilled';
+  const isCutShort = way === 'timeout' || endsHost(way);
   const partBytes = Math.max(pick(random, partSizes), Math.ceil(cutBytes / maxPauses));
   if (!isCutShort) {
     return {partBytes, partGapMs: pick(random, [0, 0, 1, 5])};
@@ -79,7 +87,7 @@
   const end = frame.end ?? drawEnd(random);
   const isLarge = way === 'slowReader' && random.nextInt(4) === 0;
   const bodyBytes = frame.bodyBytes ?? (isLarge ? slowReaderBytes : pick(random, bodySizes));
-  const cutBytes = end === 'whole' ? bodyBytes : drawCut(random, bodyBytes);
+  const cutBytes = end === 'whole' ? bodyBytes : (frame.cutBytes ?? drawCut(random, bodyBytes));
   const isHedge = way === 'hedge';
   return {
     id: `ends-${seed}-${number}`,
@@ -87,6 +95,7 @@
     way,
     framing,
     end,
+    callerVersion: frame.callerVersion ?? drawCallerVersion(random, way),
     ...drawMethod(random, way),
     bodyBytes,
     // A body without a declared end that breaks off at its end is whole.
@@ -99,6 +108,7 @@
     resetDelayMs: 1 + random.nextInt(10),
     extraBytes: pick(random, [10, 900, 20_000, 100_000, 400_000, 2_000_000]),
     isExtraFramed: random.nextInt(2) === 0,
+    copyForm: pick(random, copyForms),
     plannedAttempt: isHedge ? 1 + random.nextInt(2) : 1,
   };
 }
--- a/packages/bench/src/response-ends/hostProcess.ts
+++ b/packages/bench/src/response-ends/hostProcess.ts
@@ -1,6 +1,6 @@
 import {spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
-import {openSync, closeSync, writeFileSync} from 'node:fs';
+import {closeSync, openSync, readFileSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {setTimeout as wait} from 'node:timers/promises';
 
@@ -46,7 +46,7 @@
     const {ip, folder, cutPrefix} = this.#options;
     const settingsFile = join(folder, `${ip}.conf`);
     writeFileSync(settingsFile, this.#settings(isFirstStart));
-    const log = openSync(join(folder, `${ip}.log`), 'a');
+    const log = openSync(this.#logFile, 'a');
     const preload = cutPrefix === undefined ? [] : ['--require', join(folder, 'cut.cjs')];
     const child = spawn(
       process.execPath,
@@ -97,6 +97,13 @@
     return signal === 'SIGKILL' || (child.signalCode as string | null) !== 'SIGKILL';
   }
 
+  /** IP number of the host that relays the attempts of this one, by its log; undefined for none. */
+  relayIp(): string | undefined {
+    const log = readFileSync(this.#logFile, 'utf8');
+    const changes = [...log.matchAll(/"event":"servers\.relay"(?:,"relayHostId":"([\d.]+):)?/g)];
+    return changes.at(-1)?.[1];
+  }
+
   /** Value of a counter of the host, over all its tags. */
   async counter(name: string): Promise<number> {
     const metrics = await (await fetch(`http://${this.ip}:${hostPorts.internal}/metrics`)).text();
@@ -110,6 +117,10 @@
     return sum;
   }
 
+  get #logFile(): string {
+    return join(this.#options.folder, `${this.ip}.log`);
+  }
+
   async #isReady(): Promise<boolean> {
     try {
       const url = `http://${this.ip}:${hostPorts.readiness}/api/ready`;
--- a/packages/bench/src/response-ends/planResponse.ts
+++ b/packages/bench/src/response-ends/planResponse.ts
@@ -27,13 +27,15 @@
   readonly wholeDigest: string;
   /** How the steps end the response where the other side leaves them time. */
   readonly ending: AttemptRecord['ending'];
-  readonly isLengthFilled: boolean;
+  readonly isDeclaredByServer: boolean;
 }
 
 /** Size of one write of bytes without end. */
 const repeatBytes = 16_384;
 /** Bound on bytes without end where the other side does not close, in bytes. */
 const maxRepeatBytes = 64_000_000;
+/** Most body bytes of a late copy. */
+const maxCopyBytes = 40_000;
 /** Last bytes before a reset, in bytes: they are written in one turn with it. */
 const lastPartBytes = 4_096;
 
@@ -111,13 +113,48 @@
   }
 }
 
+/** An earlier response of a connection, which a faulty server sends once more. */
+export interface EarlierResponse {
+  readonly trial: Trial;
+  readonly attempt: number;
+}
+
+/** A late copy of a response, or a part of it, as the form of the copy says. */
+function copyOf({trial, attempt}: EarlierResponse, form: Trial['copyForm']): Buffer {
+  const body = bodyOf(trial.id, attempt, Math.min(trial.bodyBytes, maxCopyBytes));
+  const framed = new ResponsePlan(trial).frame(body);
+  const lastChunk = Buffer.from(trial.framing === 'chunked' ? '0\r\n\r\n' : '');
+  const head = responseHead(trial, digestOf(body));
+  const unnamedHead = head.toString('latin1').replace(/X-Godwitspring-Request-Id:.*\r\n/, '');
+  const copiedHead = {whole: head, unnamed: Buffer.from(unnamedHead), headless: Buffer.alloc(0)}[
+    form
+  ];
+  return Buffer.concat([copiedHead, ...(body.length > 0 ? [framed] : []), lastChunk]);
+}
+
+/** True where a server that sends a late copy thereby declares an end, in a way that its bytes do not show. */
+function declaresEndByCopy(
+  {framing, copyForm, bodyBytes, cutBytes}: Trial,
+  earlier: Trial,
+  headBytes: number,
+): boolean {
+  switch (framing) {
+    case 'length':
+      return copyForm !== 'whole' || bodyBytes - cutBytes < headBytes;
+    case 'chunked':
+      return copyForm === 'headless' && earlier.framing === 'chunked';
+    default:
+      return false;
+  }
+}
+
 /**
- * Plans the response to an attempt. `copy` is an earlier response of the connection, if there is one.
+ * Plans the response to an attempt. `earlier` is the last response of the connection, if there is one.
  */
 export function planResponse(
   trial: Trial,
   attempt: number,
-  copy: Buffer | undefined,
+  earlier: EarlierResponse | undefined,
 ): PlannedResponse {
   const {id, bodyBytes, plannedAttempt, way} = trial;
   const body = bodyOf(id, attempt, bodyBytes);
@@ -132,30 +169,31 @@
   if (end === 'whole') {
     plan.writeParts(body, trial, trial.partBytes);
     finish(plan, trial);
-    return {...planned, ending: 'whole', isLengthFilled: false};
+    return {...planned, ending: 'whole', isDeclaredByServer: false};
   }
   const start = body.subarray(0, trial.cutBytes);
   const isLastPartShort = trial.partGapMs > 0 && (end === 'resetSameTurn' || end === 'resetLater');
   plan.writeParts(start, trial, isLastPartShort ? lastPartBytes : trial.partBytes);
-  const restBytes = bodyBytes - trial.cutBytes;
+  const fillsLength = (otherBytes: number): boolean =>
+    trial.framing === 'length' && otherBytes >= bodyBytes - trial.cutBytes;
   switch (end) {
     case 'closedEarly':
       plan.steps.push({type: 'close'});
-      return {...planned, ending: 'closed', isLengthFilled: false};
+      return {...planned, ending: 'closed', isDeclaredByServer: false};
     case 'resetSameTurn':
       plan.steps.push({type: 'reset'});
-      return {...planned, ending: 'reset', isLengthFilled: false};
+      return {...planned, ending: 'reset', isDeclaredByServer: false};
     case 'resetLater':
       plan.pause(trial.resetDelayMs);
       plan.steps.push({type: 'reset'});
-      return {...planned, ending: 'reset', isLengthFilled: false};
+      return {...planned, ending: 'reset', isDeclaredByServer: false};
     case 'silence':
       plan.steps.push({type: 'silence'});
-      return {...planned, ending: 'open', isLengthFilled: false};
+      return {...planned, ending: 'open', isDeclaredByServer: false};
     case 'otherBytes': {
       plan.writeRaw(Buffer.alloc(trial.extraBytes, '#'));
       plan.steps.push({type: 'close'});
-      return {...planned, ending: 'closed', isLengthFilled: trial.extraBytes >= restBytes};
+      return {...planned, ending: 'closed', isDeclaredByServer: fillsLength(trial.extraBytes)};
     }
     case 'endless':
     case 'endlessThenClose': {
@@ -165,14 +203,15 @@
       plan.steps.push({type: 'repeat', part, limitBytes});
       plan.steps.push(end === 'endless' ? {type: 'silence'} : {type: 'close'});
       const ending = end === 'endless' ? 'open' : 'closed';
-      return {...planned, ending, isLengthFilled: limitBytes >= restBytes};
+      return {...planned, ending, isDeclaredByServer: fillsLength(limitBytes)};
     }
     case 'lateCopy': {
-      const earlier = copy ?? head;
-      plan.writeRaw(earlier);
+      const copied = earlier ?? {trial, attempt};
+      plan.writeRaw(copyOf(copied, trial.copyForm));
       plan.writeParts(body.subarray(trial.cutBytes), trial, trial.partBytes);
       finish(plan, trial);
-      return {...planned, ending: 'closed', isLengthFilled: restBytes < head.length};
+      const isDeclaredByServer = declaresEndByCopy(trial, copied.trial, head.length);
+      return {...planned, ending: 'closed', isDeclaredByServer};
     }
   }
 }
--- a/packages/bench/src/response-ends/responseWriter.ts
+++ b/packages/bench/src/response-ends/responseWriter.ts
@@ -24,7 +24,7 @@
       writtenBytes: 0,
       writtenDigest: undefined,
       ending: 'open',
-      isLengthFilled: false,
+      isDeclaredByServer: false,
     };
   }
 
@@ -73,7 +73,7 @@
   #finish(): void {
     const {record} = this;
     record.ending = this.#planned.ending;
-    record.isLengthFilled = this.#planned.isLengthFilled;
+    record.isDeclaredByServer = this.#planned.isDeclaredByServer;
     record.writtenDigest = record.ending === 'closed' ? this.#hash.digest('hex') : undefined;
   }
 
@@ -97,7 +97,7 @@
   }
 
   async #repeat({part, limitBytes}: Extract<ResponseStep, {type: 'repeat'}>): Promise<void> {
-    this.record.isLengthFilled = this.#planned.isLengthFilled;
+    this.record.isDeclaredByServer = this.#planned.isDeclaredByServer;
     for (let bytes = 0; bytes < limitBytes && !this.#socket.destroyed; bytes += part.length) {
       const next = part.subarray(0, limitBytes - bytes);
       this.#write(next, next);
--- a/packages/bench/src/response-ends/sendTrial.ts
+++ b/packages/bench/src/response-ends/sendTrial.ts
@@ -11,11 +11,11 @@
 const slowReadGapMs = 2;
 
 /** Head of the request of a trial. */
-function requestHead({id, way, method, uploadBytes}: Trial): string {
+function requestHead({id, way, callerVersion, method, uploadBytes}: Trial): string {
   const isRepeatable = way === 'hedge';
   const path = way === 'timeout' ? 'short' : isRepeatable ? 'safe' : 'upload';
   const lines = [
-    `${method} /${path}/${id} HTTP/${way === 'http10Caller' ? '1.0' : '1.1'}`,
+    `${method} /${path}/${id} HTTP/${callerVersion}`,
     `Host: ${hostName}`,
     `X-Godwitspring-Request-Id: ${id}`,
     ...(method === 'POST' ? [`Content-Length: ${uploadBytes}`] : []),
--- a/packages/bench/src/response-ends/trial.ts
+++ b/packages/bench/src/response-ends/trial.ts
@@ -16,7 +16,10 @@
 ] as const;
 export type ResponseEnd = (typeof responseEnds)[number];
 
-/** How a response reaches its caller; a planned stop and a kill concern the host that serves the caller. */
+/**
+ * How a response reaches its caller. A planned stop (SIGTERM) and a kill (SIGKILL) concern the host that serves the caller,
+ * or the one that relays its attempt.
+ */
 export const ways = [
   'alone',
   'relay',
@@ -26,6 +29,8 @@
   'http10Caller',
   'plannedStop',
   'hostKilled',
+  'relayStopped',
+  'relayKilled',
 ] as const;
 export type Way = (typeof ways)[number];
 
@@ -37,6 +42,10 @@
   0, 900, 16_384, 16_385, 40_000, 65_536, 200_000, 262_144, 262_145, 900_000,
 ] as const;
 
+/** What of an earlier response a late copy holds: all of it, all but the name of its attempt, or all but its head. */
+export const copyForms = ['whole', 'unnamed', 'headless'] as const;
+export type CopyForm = (typeof copyForms)[number];
+
 /** One request of a run: what its server does, and on which way its response reaches the caller. */
 export interface Trial {
   /** Id of the request; it names the seed of the run and the number of the trial. */
@@ -45,6 +54,7 @@
   readonly framing: Framing;
   readonly end: ResponseEnd;
   readonly way: Way;
+  readonly callerVersion: '1.0' | '1.1';
   readonly method: 'GET' | 'POST';
   /** Size of the request's body; 0 for none. */
   readonly uploadBytes: number;
@@ -63,6 +73,7 @@
   readonly extraBytes: number;
   /** True where bytes without end are sent as chunks of a chunked body rather than in place of them. */
   readonly isExtraFramed: boolean;
+  readonly copyForm: CopyForm;
   /** Number of the attempt that goes as `end` says; those after it are whole, and one before it is late. */
   readonly plannedAttempt: number;
 }
@@ -72,6 +83,11 @@
   return framing !== 'length' && framing !== 'chunked';
 }
 
+/** True for the ways on which a host ends. */
+export function endsHost(way: Way): boolean {
+  return /Stop|Killed/.test(way);
+}
+
 /** What a server did with one attempt of a trial. */
 export interface AttemptRecord {
   readonly attempt: number;
@@ -85,8 +101,8 @@
   writtenDigest: string | undefined;
   /** How the server ended the response; `open` where it had not yet when the connection was closed by the host. */
   ending: 'whole' | 'closed' | 'reset' | 'open';
-  /** True where the server itself declared the end, by a length that it filled with other bytes. */
-  isLengthFilled: boolean;
+  /** True where the server itself declared an end that it did not mean: other bytes filled a length, or held a last chunk. */
+  isDeclaredByServer: boolean;
 }
 
 /** What the caller of a trial received. */
--- a/packages/bench/src/response-ends/trialFleet.ts
+++ b/packages/bench/src/response-ends/trialFleet.ts
@@ -7,7 +7,7 @@
 import {PlatformStore} from './platformStore.ts';
 import {RunningTrials} from './runningTrials.ts';
 import {hostName, sendTrial} from './sendTrial.ts';
-import type {ReceivedResponse, Trial} from './trial.ts';
+import type {ReceivedResponse, Trial, Way} from './trial.ts';
 import {TrialServer, healthPath} from './trialServer.ts';
 
 const repositoryRoot = fileURLToPath(new URL('../../../../', import.meta.url));
@@ -27,6 +27,15 @@
 const killedHost = 6;
 const hostNumbers = [1, 2, 3, cutOffHost, stoppedHost, killedHost];
 
+/** Host that serves the callers of a way; the others are served by the steady hosts in turn. */
+const fixedHostByWay: Readonly<Partial<Record<Way, number>>> = {
+  relay: cutOffHost,
+  relayStopped: cutOffHost,
+  relayKilled: cutOffHost,
+  plannedStop: stoppedHost,
+  hostKilled: killedHost,
+};
+
 /** Timeout of the route of uploads, in ms. */
 const timeoutMs = 3_000;
 /** Timeout of the route whose responses meet it while they run, in ms. */
@@ -173,24 +182,27 @@
 
   /** Sends the request of a trial to the host of its way. */
   async send(trial: Trial, number: number): Promise<ReceivedResponse> {
-    const hostNumber = {
-      relay: cutOffHost,
-      plannedStop: stoppedHost,
-      hostKilled: killedHost,
-    }[trial.way as string];
-    const ip = this.#hostIp(hostNumber ?? 1 + (number % steadyHosts));
+    const ip = this.#hostIp(fixedHostByWay[trial.way] ?? 1 + (number % steadyHosts));
     return sendTrial(trial, ip, hostPorts.callers);
   }
 
   /** Ends the host of a way while its requests run, and starts it again. */
-  async restart(way: 'plannedStop' | 'hostKilled'): Promise<void> {
-    const host = this.#hosts.get(way === 'plannedStop' ? stoppedHost : killedHost);
-    const hasEnded = await host?.end(way === 'plannedStop' ? 'SIGTERM' : 'SIGKILL');
+  async restart(way: Way): Promise<void> {
+    const host = this.#hosts.get(this.#hostToEnd(way));
+    const isPlanned = way === 'plannedStop' || way === 'relayStopped';
+    const hasEnded = await host?.end(isPlanned ? 'SIGTERM' : 'SIGKILL');
     this.#overdueStops += hasEnded === false ? 1 : 0;
     host?.start(false);
     await host?.waitUntilReady();
   }
 
+  #hostToEnd(way: Way): number {
+    const relayIp = this.#hosts.get(cutOffHost)?.relayIp();
+    return way === 'relayStopped' || way === 'relayKilled'
+      ? Number(relayIp?.split('.').at(-1))
+      : (fixedHostByWay[way] ?? 0);
+  }
+
   /** Planned stops after which the process did not end by itself. */
   get overdueStops(): number {
     return this.#overdueStops;
--- a/packages/bench/src/response-ends/trialServer.ts
+++ b/packages/bench/src/response-ends/trialServer.ts
@@ -1,14 +1,13 @@
 import {createServer} from 'node:net';
 import type {Server, Socket} from 'node:net';
 import {MessageReader} from './messageReader.ts';
-import {planResponse, responseHead} from './planResponse.ts';
+import {planResponse} from './planResponse.ts';
+import type {EarlierResponse} from './planResponse.ts';
 import {ResponseWriter} from './responseWriter.ts';
 import type {RunningTrials} from './runningTrials.ts';
 
 /** Path of the health probes. */
 export const healthPath = '/health';
-/** Longest earlier response of which a copy is sent, in bytes. */
-const maxCopyBytes = 40_000;
 
 /** Settings of one server. */
 export interface TrialServerOptions {
@@ -54,7 +53,7 @@
     socket.on('error', () => undefined);
     socket.once('close', () => this.#sockets.delete(socket));
     let reader = new MessageReader('request');
-    let copy: Buffer | undefined;
+    let earlier: EarlierResponse | undefined;
     let isBusy = false;
     const advance = (): void => {
       if (!reader.isEnded || isBusy) {
@@ -64,9 +63,9 @@
       const {rest} = reader;
       const request = reader;
       reader = new MessageReader('request');
-      void this.#respond(socket, request, copy).then((sent) => {
+      void this.#respond(socket, request, earlier).then((sent) => {
         isBusy = false;
-        copy = sent ?? copy;
+        earlier = sent ?? earlier;
         reader.push(rest);
         advance();
       });
@@ -77,12 +76,12 @@
     });
   }
 
-  /** Sends a response; returns a copy of it where the connection is kept. */
+  /** Sends a response; returns what it was where the connection is kept. */
   async #respond(
     socket: Socket,
     request: MessageReader,
-    copy: Buffer | undefined,
-  ): Promise<Buffer | undefined> {
+    earlier: EarlierResponse | undefined,
+  ): Promise<EarlierResponse | undefined> {
     const {id, trials} = this.#options;
     if (request.words[1] === healthPath) {
       socket.write(
@@ -96,15 +95,9 @@
       return undefined;
     }
     const {trial, attempt} = started;
-    const writer = new ResponseWriter(socket, attempt, planResponse(trial, attempt, copy));
+    const writer = new ResponseWriter(socket, attempt, planResponse(trial, attempt, earlier));
     trials.recordAttempt(trial.id, writer.record);
     const isKept = await writer.send();
-    return isKept ? this.#copyOf(trial, writer.record.wholeDigest) : undefined;
-  }
-
-  /** Start of a response, as a server repeats it. */
-  #copyOf(trial: Parameters<typeof responseHead>[0], wholeDigest: string): Buffer {
-    const body = Buffer.alloc(Math.min(trial.bodyBytes, maxCopyBytes), 'c');
-    return Buffer.concat([responseHead(trial, wholeDigest), body]);
+    return isKept ? started : undefined;
   }
 }
