A stopped host opens no connection to other hosts

Cause: cut requests are reported to other hosts after the connections to them are closed, which opens new ones. They also count as crashes of servers that did nothing. Change: a stopped peer task sends nothing. Measured: the new test fails before and passes now.

--- a/packages/peer/src/__tests__/peerTask.test.ts
+++ b/packages/peer/src/__tests__/peerTask.test.ts
@@ -41,6 +41,21 @@
     expect(await senderId).to.equal(serverId);
   });
 
+  // Guards against a process that does not end, as it reports cut requests to other hosts on new connections.
+  it('opens no connection once it is stopped', async () => {
+    let received = 0;
+    const server = createTask(serverId, () => {
+      received += 1;
+    });
+    const client = createTask(clientId, () => undefined);
+    await Promise.all([client.start(), server.start()]);
+    await client.stop();
+    client.send(serverId, message);
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    await server.stop();
+    expect(received).to.equal(0);
+  });
+
   it('reports that no process listens at an address', async () => {
     const absentHostId = await new Promise<string>((resolve) => {
       const client = createTask(clientId, (report) => {
--- a/packages/peer/src/peerTask.ts
+++ b/packages/peer/src/peerTask.ts
@@ -118,6 +118,7 @@
   #stallCheck: NodeJS.Timeout | undefined;
   #server: WebSocketServer | undefined;
   #httpServer: Server | undefined;
+  #isStopped = false;
 
   constructor(options: Partial<PeerTaskOptions> & RequiredPeerOptions) {
     this.#options = {...DEFAULT_PEER_OPTIONS, ...options};
@@ -169,9 +170,12 @@
   /**
    * Sends a message, opening a link if needed. The message is dropped if the host's address is unknown, its link
    * broke less than `reconnectMs` ago or the queue of the link is full; peers recover from lost messages by
-   * sending again.
+   * sending again. A stopped task sends nothing, as a new link would keep its process alive.
    */
   send(toHostId: string, message: PeerMessage): void {
+    if (this.#isStopped) {
+      return;
+    }
     const link = this.#links.get(toHostId) ?? this.#connect(toHostId);
     if (link === undefined) {
       return;
@@ -215,6 +219,7 @@
 
   /** Closes all connections and stops accepting new ones. */
   async stop(): Promise<void> {
+    this.#isStopped = true;
     for (const {socket} of this.#links.values()) {
       socket.close();
     }
