--- a/packages/bench/src/response-ends/planResponse.ts
+++ b/packages/bench/src/response-ends/planResponse.ts
@@ -18,6 +18,8 @@
   | {readonly type: 'silence'}
   /** Writes `part` again and again, until the other side closes or until `limitBytes` were written. */
   | {readonly type: 'repeat'; readonly part: Buffer; readonly limitBytes: number}
+  /** Notes that from here on the server itself declares an end that it does not mean. */
+  | {readonly type: 'declare'}
   /** Leaves the connection to the next request. */
   | {readonly type: 'keep'};
 
@@ -27,7 +29,6 @@
   readonly wholeDigest: string;
   /** How the steps end the response where the other side leaves them time. */
   readonly ending: AttemptRecord['ending'];
-  readonly isDeclaredByServer: boolean;
 }
 
 /** Size of one write of bytes without end. */
@@ -98,6 +99,13 @@
     this.writeBody(body.subarray(lastStart));
   }
 
+  /** Notes that the bytes so far or those that follow declare an end that the server does not mean. */
+  declareIf(isDeclared: boolean): void {
+    if (isDeclared) {
+      this.steps.push({type: 'declare'});
+    }
+  }
+
   pause(waitMs: number): void {
     this.steps.push({type: 'flush'}, {type: 'wait', waitMs});
   }
@@ -169,7 +177,7 @@
   if (end === 'whole') {
     plan.writeParts(body, trial, trial.partBytes);
     finish(plan, trial);
-    return {...planned, ending: 'whole', isDeclaredByServer: false};
+    return {...planned, ending: 'whole'};
   }
   const start = body.subarray(0, trial.cutBytes);
   const isLastPartShort = trial.partGapMs > 0 && (end === 'resetSameTurn' || end === 'resetLater');
@@ -179,39 +187,40 @@
   switch (end) {
     case 'closedEarly':
       plan.steps.push({type: 'close'});
-      return {...planned, ending: 'closed', isDeclaredByServer: false};
+      return {...planned, ending: 'closed'};
     case 'resetSameTurn':
       plan.steps.push({type: 'reset'});
-      return {...planned, ending: 'reset', isDeclaredByServer: false};
+      return {...planned, ending: 'reset'};
     case 'resetLater':
       plan.pause(trial.resetDelayMs);
       plan.steps.push({type: 'reset'});
-      return {...planned, ending: 'reset', isDeclaredByServer: false};
+      return {...planned, ending: 'reset'};
     case 'silence':
       plan.steps.push({type: 'silence'});
-      return {...planned, ending: 'open', isDeclaredByServer: false};
+      return {...planned, ending: 'open'};
     case 'otherBytes': {
       plan.writeRaw(Buffer.alloc(trial.extraBytes, '#'));
+      plan.declareIf(fillsLength(trial.extraBytes));
       plan.steps.push({type: 'close'});
-      return {...planned, ending: 'closed', isDeclaredByServer: fillsLength(trial.extraBytes)};
+      return {...planned, ending: 'closed'};
     }
     case 'endless':
     case 'endlessThenClose': {
       const other = Buffer.alloc(repeatBytes, '#');
       const part = trial.isExtraFramed ? plan.frame(other) : other;
       const limitBytes = end === 'endless' ? maxRepeatBytes : trial.extraBytes;
+      plan.declareIf(fillsLength(limitBytes));
       plan.steps.push({type: 'repeat', part, limitBytes});
       plan.steps.push(end === 'endless' ? {type: 'silence'} : {type: 'close'});
-      const ending = end === 'endless' ? 'open' : 'closed';
-      return {...planned, ending, isDeclaredByServer: fillsLength(limitBytes)};
+      return {...planned, ending: end === 'endless' ? 'open' : 'closed'};
     }
     case 'lateCopy': {
       const copied = earlier ?? {trial, attempt};
       plan.writeRaw(copyOf(copied, trial.copyForm));
+      plan.declareIf(declaresEndByCopy(trial, copied.trial, head.length));
       plan.writeParts(body.subarray(trial.cutBytes), trial, trial.partBytes);
       finish(plan, trial);
-      const isDeclaredByServer = declaresEndByCopy(trial, copied.trial, head.length);
-      return {...planned, ending: 'closed', isDeclaredByServer};
+      return {...planned, ending: 'closed'};
     }
   }
 }
--- a/packages/bench/src/response-ends/responseWriter.ts
+++ b/packages/bench/src/response-ends/responseWriter.ts
@@ -62,6 +62,9 @@
         this.#finish();
         this.#socket.resetAndDestroy();
         return undefined;
+      case 'declare':
+        this.record.isDeclaredByServer = true;
+        return undefined;
       case 'keep':
         this.#finish();
         return undefined;
@@ -73,7 +76,6 @@
   #finish(): void {
     const {record} = this;
     record.ending = this.#planned.ending;
-    record.isDeclaredByServer = this.#planned.isDeclaredByServer;
     record.writtenDigest = record.ending === 'closed' ? this.#hash.digest('hex') : undefined;
   }
 
@@ -97,7 +99,6 @@
   }
 
   async #repeat({part, limitBytes}: Extract<ResponseStep, {type: 'repeat'}>): Promise<void> {
-    this.record.isDeclaredByServer = this.#planned.isDeclaredByServer;
     for (let bytes = 0; bytes < limitBytes && !this.#socket.destroyed; bytes += part.length) {
       const next = part.subarray(0, limitBytes - bytes);
       this.#write(next, next);
