Bytes of servers are read through one buffer of 16 KB

Cause: each read from a server took a new buffer of 64 KB. Under bodies without end the buffers of many responses live long enough to reach the old generation, whose collection starts only after 64 MB more of external memory.

Change: `ServerSocket` reads into one buffer that all sockets share, and copies each read out in its own size. A response of a few hundred bytes no longer takes 64 KB for a moment, and large bodies arrive in the pieces in which they are written.

--- a/packages/proxy/src/backends/serverSocket.ts
+++ b/packages/proxy/src/backends/serverSocket.ts
@@ -1,7 +1,16 @@
 import {Socket} from 'node:net';
+import type {SocketConstructorOpts, TcpSocketConnectOpts} from 'node:net';
 import {ResponseHeadLimiter} from '@godwitspring/core';
 import {ResponseHeadError} from '../errors/hostErrors.ts';
 
+/**
+ * Receives the bytes of every socket, one after the other; they are copied out at once.
+ *
+ * Without it, each read takes a buffer of 65,536 bytes. Servers that send without end then leave more garbage than the
+ * collector frees in time. The size is that of the pieces in which responses are written to callers.
+ */
+const readBuffer = Buffer.allocUnsafeSlow(16_384);
+
 /**
  * A connection to a server that breaks where the heads or trailers of a response are too long, before the HTTP client
  * parses them.
@@ -9,12 +18,23 @@
 export class ServerSocket extends Socket {
   readonly #limiter = new ResponseHeadLimiter();
 
+  constructor() {
+    // The constructor reads `onread`, but its types leave it out.
+    const options: SocketConstructorOpts & Pick<TcpSocketConnectOpts, 'onread'> = {
+      onread: {
+        buffer: readBuffer,
+        callback: (bytes, buffer) => this.push(Buffer.from(buffer.subarray(0, bytes))),
+      },
+    };
+    super(options);
+  }
+
   /** The next bytes that arrive are those of a new response. */
   startResponse(): void {
     this.#limiter.startResponse();
   }
 
-  /** Takes bytes that arrived, each once, as the `net` module hands them over. */
+  /** Takes bytes that arrived, each once; false where no more are wanted for now. */
   override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
     if (chunk !== null && !this.#limiter.accepts(chunk)) {
       this.destroy(new ResponseHeadError('the head or the trailers are too long'));
