A probe whose response is not complete shows no healthy server

Cause: the body of a probe was dumped, which hides how it ended: a part of a length, missing chunks or a reset counted as healthy. Change: it is read and checked like other bodies.

--- a/packages/proxy/src/__tests__/responseMemory.test.ts
+++ b/packages/proxy/src/__tests__/responseMemory.test.ts
@@ -3,9 +3,9 @@
 import {Readable} from 'node:stream';
 import {setTimeout as wait} from 'node:timers/promises';
 import {bufferResponse} from '../backends/bufferResponse.ts';
+import type {BufferResponseOptions} from '../backends/bufferResponse.ts';
 import {readUndeclaredBody} from '../backends/readUndeclaredBody.ts';
 import {RepeatedResponseDetector} from '../backends/repeatedResponseDetector.ts';
-import type {SoundChunksOptions} from '../backends/soundChunks.ts';
 import {ResponseMemoryError} from '../errors/hostErrors.ts';
 
 const chunkBytes = 1_000;
@@ -23,9 +23,10 @@
     budget = new ResponseMemoryBudget({limitBytes: budgetBytes, freeBytesPerResponse: 0});
   });
 
-  function optionsWith(framing: SoundChunksOptions['framing']): SoundChunksOptions {
+  function optionsWith(framing: BufferResponseOptions['framing']): BufferResponseOptions {
     return {
       framing,
+      maxBytes: 100_000,
       wasReset: () => false,
       onRead: () => undefined,
       memory: budget.open(),
@@ -35,14 +36,11 @@
 
   // Guards against many bodies without end that are each within their limit, and together exceed the memory.
   it('refuses a response without a declared end that it does not hold, and is free again at the end of the others', async () => {
-    const maxBytes = 100_000;
-    const first = await readUndeclaredBody(bodyOfChunks(), {...optionsWith('close'), maxBytes});
+    const first = await readUndeclaredBody(bodyOfChunks(), optionsWith('close'));
     let failure: unknown;
-    await readUndeclaredBody(bodyOfChunks(), {...optionsWith('close'), maxBytes}).catch(
-      (error: unknown) => {
-        failure = error;
-      },
-    );
+    await readUndeclaredBody(bodyOfChunks(), optionsWith('close')).catch((error: unknown) => {
+      failure = error;
+    });
     expect(failure).to.be.instanceOf(ResponseMemoryError);
     expect(budget.usedBytes).to.equal(chunks * chunkBytes);
     first.body.destroy();
@@ -51,9 +49,8 @@
   });
 
   it('passes on a response with a declared end without reading it completely', async () => {
-    const maxBytes = 100_000;
-    const first = await bufferResponse(bodyOfChunks(), {...optionsWith('length'), maxBytes});
-    const second = await bufferResponse(bodyOfChunks(), {...optionsWith('length'), maxBytes});
+    const first = await bufferResponse(bodyOfChunks(), optionsWith('length'));
+    const second = await bufferResponse(bodyOfChunks(), optionsWith('length'));
     expect({first: first.wholeBytes, second: second.wholeBytes}).to.deep.equal({
       first: chunks * chunkBytes,
       second: undefined,
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -30,6 +30,7 @@
 import {bufferResponse} from './bufferResponse.ts';
 import {bodyFramingOf} from './bodyFramingOf.ts';
 import {errorCode, failureReasonOf} from './failureReasonOf.ts';
+import {discardBody} from './discardBody.ts';
 import {readUndeclaredBody} from './readUndeclaredBody.ts';
 import {limitInterimResponses, maxInterimResponses} from './limitInterimResponses.ts';
 import {RepeatedResponseDetector} from './repeatedResponseDetector.ts';
@@ -422,14 +423,22 @@
     const connection = pool.acquire();
     let isHealthy = false;
     try {
-      const {statusCode, body} = await connection.client.request({
+      const response = await connection.client.request({
         method: 'GET',
         path,
         headersTimeout: timeoutMs,
         signal: AbortSignal.timeout(timeoutMs),
       });
-      await body.dump();
-      isHealthy = statusCode < 400;
+      await discardBody(response.body, {
+        framing: bodyFramingOf({method: 'GET', ...response}),
+        wasReset: () => connection.wasReset,
+        onRead: () => undefined,
+        repeats: new RepeatedResponseDetector({
+          requestNameHeader: this.#options.dialect.requestNameHeader,
+          attemptNames: connection.attemptNames,
+        }),
+      });
+      isHealthy = response.statusCode < 400;
       pool.release(connection);
     } catch (error) {
       pool.discard(connection);
--- a/packages/proxy/src/backends/bufferResponse.ts
+++ b/packages/proxy/src/backends/bufferResponse.ts
@@ -1,11 +1,14 @@
 import {PassThrough, pipeline, Readable} from 'node:stream';
+import type {ResponseMemory} from '@godwitspring/core';
 import {soundChunks} from './soundChunks.ts';
 import type {SoundChunksOptions} from './soundChunks.ts';
 
-/** Limits of buffering a response. */
+/** How a body is read before any of it is passed on. */
 export interface BufferResponseOptions extends SoundChunksOptions {
-  /** Bodies up to this size are read completely before any of it is passed on, in bytes. */
+  /** Largest body that is read completely, in bytes. */
   readonly maxBytes: number;
+  /** Memory for what is read of the body before any of it is passed on. */
+  readonly memory: ResponseMemory;
 }
 
 /** A response body, of which at least the start was read. */
--- a/packages/proxy/src/backends/readUndeclaredBody.ts
+++ b/packages/proxy/src/backends/readUndeclaredBody.ts
@@ -1,19 +1,12 @@
 import {Readable} from 'node:stream';
 import {ResponseMemoryError, UndeclaredBodyError} from '../errors/hostErrors.ts';
-import type {BufferedResponse} from './bufferResponse.ts';
+import type {BufferResponseOptions, BufferedResponse} from './bufferResponse.ts';
 import {soundChunks} from './soundChunks.ts';
-import type {SoundChunksOptions} from './soundChunks.ts';
-
-/** Limits of reading a body whose end is not declared. */
-export interface ReadUndeclaredBodyOptions extends SoundChunksOptions {
-  /** Largest body that is read, in bytes. */
-  readonly maxBytes: number;
-}
 
 /** Reads the chunks of a body; fails where the connection is reset, or where the body exceeds a limit. */
 async function readChunks(
   body: Readable,
-  {maxBytes, ...options}: ReadUndeclaredBodyOptions,
+  {maxBytes, memory, ...options}: BufferResponseOptions,
 ): Promise<{chunks: Buffer[]; wholeBytes: number}> {
   const chunks: Buffer[] = [];
   let wholeBytes = 0;
@@ -22,7 +15,7 @@
     if (wholeBytes > maxBytes) {
       throw new UndeclaredBodyError(`a body without a length exceeds ${maxBytes} bytes`);
     }
-    if (!options.memory.tryTake(chunk.length)) {
+    if (!memory.tryTake(chunk.length)) {
       throw new ResponseMemoryError('the responses that are being read hold all memory for them');
     }
     chunks.push(chunk);
@@ -37,7 +30,7 @@
  */
 export async function readUndeclaredBody(
   body: Readable,
-  options: ReadUndeclaredBodyOptions,
+  options: BufferResponseOptions,
 ): Promise<BufferedResponse> {
   const {memory} = options;
   try {
--- a/packages/proxy/src/backends/soundChunks.ts
+++ b/packages/proxy/src/backends/soundChunks.ts
@@ -1,10 +1,10 @@
 import type {Readable} from 'node:stream';
 import {judgeCompleteness} from '@godwitspring/core';
-import type {BodyFraming, ResponseMemory} from '@godwitspring/core';
+import type {BodyFraming} from '@godwitspring/core';
 import {BrokenAnswerError, RepeatedResponseError} from '../errors/hostErrors.ts';
 import type {RepeatedResponseDetector} from './repeatedResponseDetector.ts';
 
-/** How a body is read and checked. */
+/** How the chunks of a body are checked. */
 export interface SoundChunksOptions {
   /** How the server marks the end of the body. */
   readonly framing: BodyFraming;
@@ -12,8 +12,6 @@
   readonly wasReset: () => boolean;
   /** Called after each read of the body. */
   readonly onRead: () => void;
-  /** Memory for the part of the body that is held before any of it is passed on. */
-  readonly memory: ResponseMemory;
   /** Finds copies of other responses within the body. */
   readonly repeats: RepeatedResponseDetector;
 }
