--- a/packages/core/src/errors/errorKinds.ts
+++ b/packages/core/src/errors/errorKinds.ts
@@ -23,6 +23,7 @@
   'answer-lost',
   'answer-timeout',
   'answer-malformed',
+  'answer-too-large',
   'repeat-in-progress',
   'repeat-unknown',
   'request-crashes-servers',
--- a/packages/core/src/errors/responseTable.ts
+++ b/packages/core/src/errors/responseTable.ts
@@ -119,6 +119,11 @@
     title: 'The backend server gave no valid answer',
     outcome: 'unknown',
   },
+  'answer-too-large': {
+    status: 502,
+    title: 'The answer is too large for one whose end is not declared',
+    outcome: 'unknown',
+  },
   'repeat-in-progress': {
     status: 409,
     title: 'The first request with this idempotency key still runs',
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -86,6 +86,8 @@
   'malformed',
   'caller',
   'body-limit',
+  'oversized',
+  'memory',
 ]);
 
 /** What was wrong with a response that was not complete, for the logs. */
@@ -97,6 +99,7 @@
   'interim',
   'protocol',
   'undeclared-too-large',
+  'endless',
   'memory',
 ]);
 
--- a/packages/core/src/request/admitRequest.ts
+++ b/packages/core/src/request/admitRequest.ts
@@ -99,7 +99,7 @@
     isHedgeRequested: false,
     isRetryByHedgeQuery: false,
     mayHaveRun: false,
-    isBodyIncomplete: false,
+    isInconclusive: false,
     isNextAttemptRetry: false,
     isPermitted: customer === undefined,
     serverFailure: undefined,
--- a/packages/core/src/request/attemptOutcomes.ts
+++ b/packages/core/src/request/attemptOutcomes.ts
@@ -14,6 +14,8 @@
   malformed: 'answer-malformed',
   caller: 'caller-too-slow',
   'body-limit': 'body-too-large',
+  oversized: 'answer-too-large',
+  memory: 'overloaded',
 };
 
 /** Outcome that is recorded for the server, by the failure of an attempt. */
@@ -25,6 +27,8 @@
   malformed: 'lost',
   caller: 'cancelled',
   'body-limit': 'cancelled',
+  oversized: 'cancelled',
+  memory: 'cancelled',
 };
 
 /** Retry budget that a retry after an outcome is charged to; outcomes not listed here count as `failure`. */
--- a/packages/core/src/request/releaseServer.ts
+++ b/packages/core/src/request/releaseServer.ts
@@ -43,7 +43,7 @@
     outcome,
     latencyMs,
     ranForMs,
-    ...(outcome === 'cancelled' && request.isBodyIncomplete ? {isInconclusive: true} : {}),
+    ...(outcome === 'cancelled' && request.isInconclusive ? {isInconclusive: true} : {}),
   };
 }
 
--- a/packages/core/src/request/requestState.ts
+++ b/packages/core/src/request/requestState.ts
@@ -73,8 +73,8 @@
   isRetryByHedgeQuery: boolean;
   /** True once an attempt ran, or may have run, without its response having been delivered. */
   mayHaveRun: boolean;
-  /** True where the caller broke off its request body, so that the silence of a server says nothing. */
-  isBodyIncomplete: boolean;
+  /** True where the caller or this host broke off an attempt, so that its end says nothing of the server. */
+  isInconclusive: boolean;
   /** True once the request is retried after an attempt that reached its server; later attempts count as retries. */
   isNextAttemptRetry: boolean;
   /** True once a permit was granted to the request, or where it has no customer and needs none. */
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -507,8 +507,11 @@
     }
     const kind = errorKindByFailure[message.failure];
     if (outcome === 'cancelled') {
-      request.isBodyIncomplete = true;
-      return this.#refuse(request, kind, nowMs, {outcome: 'unknown'}, outcome);
+      request.isInconclusive = true;
+      const isOfCaller = message.failure === 'caller' || message.failure === 'body-limit';
+      return isOfCaller || request.running.size === 1
+        ? this.#refuse(request, kind, nowMs, {outcome: 'unknown'}, outcome)
+        : this.#retry(request, running, outcome, kind, nowMs);
     }
     if (!message.mayHaveRun) {
       const {relayHostId} = running;
@@ -658,7 +661,7 @@
     isBodyIncomplete: boolean,
     nowMs: number,
   ): readonly CoreMessage[] {
-    request.isBodyIncomplete = isBodyIncomplete;
+    request.isInconclusive = isBodyIncomplete;
     const reports = reportCallerLeft(request, nowMs);
     const cancelled = cancelDelivery(request);
     return [...cancelled, ...this.#endRequest(request, 'cancelled', nowMs), ...reports];
--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -13,6 +13,7 @@
 import type {HttpDialect, ResponseClassification} from '../dialect/httpDialect.ts';
 import {
   BodyLimitError,
+  EndlessBodyError,
   InterimResponsesError,
   RepeatedResponseError,
   ResponseMemoryError,
@@ -114,11 +115,13 @@
   if (error instanceof SlowCallerError) {
     return {failure: 'caller', mayHaveRun: true};
   }
-  if (
-    error instanceof RepeatedResponseError ||
-    error instanceof UndeclaredBodyError ||
-    error instanceof ResponseMemoryError
-  ) {
+  if (error instanceof UndeclaredBodyError) {
+    return {failure: 'oversized', mayHaveRun: true};
+  }
+  if (error instanceof ResponseMemoryError) {
+    return {failure: 'memory', mayHaveRun: true};
+  }
+  if (error instanceof RepeatedResponseError || error instanceof EndlessBodyError) {
     return {failure: 'malformed', mayHaveRun: true};
   }
   if (!hasConnected) {
@@ -322,7 +325,8 @@
     connection: ServerConnection,
   ): Promise<void> {
     const {requestId, attempt, notRunHeader} = run;
-    const {dialect, bufferedResponseBytes, maxUndeclaredBytes, responseMemory} = this.#options;
+    const {dialect, timers, bufferedResponseBytes, maxUndeclaredBytes, responseMemory} =
+      this.#options;
     const {statusCode: status, body} = response;
     if (run.relayHostId !== undefined && response.headers[relayNotSentHeader] !== undefined) {
       body.on('error', () => undefined).destroy();
@@ -372,7 +376,7 @@
     };
     const buffered =
       framing === 'close'
-        ? await readUndeclaredBody(body, {...options, maxBytes: maxUndeclaredBytes})
+        ? await readUndeclaredBody(body, {...options, timers, maxBytes: maxUndeclaredBytes})
         : await bufferResponse(body, {...options, maxBytes: bufferedResponseBytes});
     this.#options.answer(requestId, {
       attempt,
--- a/packages/proxy/src/backends/bufferResponse.ts
+++ b/packages/proxy/src/backends/bufferResponse.ts
@@ -1,5 +1,6 @@
 import {PassThrough, pipeline, Readable} from 'node:stream';
 import type {ResponseMemory} from '@godwitspring/core';
+import {readableOf} from './readableOf.ts';
 import {soundChunks} from './soundChunks.ts';
 import type {SoundChunksOptions} from './soundChunks.ts';
 
@@ -34,9 +35,7 @@
     for (let isHeld = true; isHeld && bytes <= maxBytes;) {
       const next = await checkedChunks.next();
       if (next.done === true) {
-        const whole = Readable.from(chunks);
-        whole.once('close', memory.release);
-        return {body: whole, wholeBytes: bytes};
+        return {body: readableOf(chunks, memory), wholeBytes: bytes};
       }
       chunks.push(next.value);
       bytes += next.value.length;
@@ -47,7 +46,12 @@
     throw error;
   }
   const forwarded = new PassThrough();
-  forwarded.once('close', memory.release);
+  forwarded.once('drain', memory.release);
+  forwarded.once('close', () => {
+    memory.release();
+    // The generator that reads the body would wait for its next bytes before it ends.
+    body.on('error', () => undefined).destroy();
+  });
   forwarded.write(Buffer.concat(chunks));
   pipeline(Readable.from(checkedChunks), forwarded, () => {
     // A failure destroys `forwarded`, which breaks the caller's connection, so that the caller notices.
--- a/packages/proxy/src/backends/failureReasonOf.ts
+++ b/packages/proxy/src/backends/failureReasonOf.ts
@@ -1,6 +1,7 @@
 import type {FailureReason} from '@godwitspring/core';
 import {
   BrokenAnswerError,
+  EndlessBodyError,
   InterimResponsesError,
   RepeatedResponseError,
   ResponseMemoryError,
@@ -26,6 +27,9 @@
   if (error instanceof UndeclaredBodyError) {
     return 'undeclared-too-large';
   }
+  if (error instanceof EndlessBodyError) {
+    return 'endless';
+  }
   if (error instanceof ResponseMemoryError) {
     return 'memory';
   }
--- a/packages/proxy/src/callers/applyFraming.ts
+++ b/packages/proxy/src/callers/applyFraming.ts
@@ -1,13 +1,12 @@
 import type {ServerResponse} from 'node:http';
 import {chooseFraming} from '@godwitspring/core';
-import type {BodyFraming} from '@godwitspring/core';
 import type {PendingResponse} from './exchange.ts';
 
 /** Sets how the end of a response is marked towards its caller; called before its head is sent. */
 export function applyFraming(
   {framing, bodyBytes}: Pick<PendingResponse, 'framing' | 'bodyBytes'>,
   outgoing: ServerResponse,
-): BodyFraming {
+): void {
   const chosen = chooseFraming({
     framing,
     bodyBytes,
@@ -20,5 +19,4 @@
   if (chosen === 'length' && framing === 'chunks') {
     outgoing.setHeader('content-length', String(bodyBytes));
   }
-  return chosen;
 }
--- a/packages/proxy/src/callers/callerTask.ts
+++ b/packages/proxy/src/callers/callerTask.ts
@@ -23,7 +23,7 @@
 import {ResponseRecorder} from './responseRecorder.ts';
 import {applyFraming} from './applyFraming.ts';
 import {BodyLimiter} from './bodyLimiter.ts';
-import {breakOff} from './breakOff.ts';
+import {breakOff, isCloseDelimited} from './breakOff.ts';
 import type {Exchange, PendingResponse} from './exchange.ts';
 import type {HostIntake} from '../intake/hostIntake.ts';
 import type {HttpDialect} from '../dialect/httpDialect.ts';
@@ -427,10 +427,10 @@
     try {
       this.#announceClose(outgoing);
       outgoing.setHeader(this.#requestNameHeader, requestName);
-      const framing = applyFraming(response, outgoing);
+      applyFraming(response, outgoing);
       outgoing.writeHead(response.status, response.headers);
       // A length or chunks show by themselves that a response is incomplete, also where this process is killed.
-      if (framing === 'close') {
+      if (isCloseDelimited(outgoing)) {
         resetIfBrokenOff(response, outgoing);
       }
       const recorder = new ResponseRecorder(response);
--- a/packages/proxy/src/callers/headers.ts
+++ b/packages/proxy/src/callers/headers.ts
@@ -42,6 +42,8 @@
   for (const name of (headers.connection ?? '').split(',')) {
     names.add(name.trim().toLowerCase());
   }
+  // A response without the length that its server declared could end early like a whole one.
+  names.delete('content-length');
   return names;
 }
 
--- a/packages/proxy/src/errors/hostErrors.ts
+++ b/packages/proxy/src/errors/hostErrors.ts
@@ -21,9 +21,12 @@
 /** The connection to a backend server broke before the response was complete. */
 export const BrokenAnswerError = HostError.subclass('BrokenAnswerError');
 
-/** A response body whose end is not declared is larger than a host reads. */
+/** A response body whose end is not declared is larger than a host passes on. */
 export const UndeclaredBodyError = HostError.subclass('UndeclaredBodyError');
 
+/** A response body whose end is not declared goes on beyond any size that is likely for one. */
+export const EndlessBodyError = HostError.subclass('EndlessBodyError');
+
 /** A backend server used a transfer coding that no request accepts; counts as malformed, as its code is that of an HTTP parser. */
 export const TransferCodingError = HostError.subclass('TransferCodingError', {
   props: {code: 'HPE_INVALID_TRANSFER_ENCODING'},
