--- a/packages/proxy/src/__tests__/responseFraming.test.ts
+++ b/packages/proxy/src/__tests__/responseFraming.test.ts
@@ -2,9 +2,14 @@
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
 import {expect} from 'chai';
+import {dialTcp} from '../backends/serverConnectionPool.ts';
 import {GossipFleetFixture} from './__fixtures__/gossipFleetFixture.ts';
 
 const subnet = '127.83';
+/** Host that gets the requests; it may be cut off from the servers. */
+const entryHost = 1;
+/** Port on which nothing listens. */
+const closedPort = 1;
 const callerPort = 8080;
 /** Time after which a server ends its connection, in ms. */
 const endAfterMs = 30;
@@ -534,9 +539,24 @@
 }
 
 describe('the framing of a response of a server', () => {
-  const fixture = new GossipFleetFixture(subnet, {servers: 16});
+  let isCutOff = false;
+  const sockets = new Set<Socket>();
+  const fixture = new GossipFleetFixture(subnet, {
+    hosts: 4,
+    servers: 16,
+    dial: (hostNumber, ip, port) => {
+      const isToServer = hostNumber === entryHost && ip.startsWith(`${subnet}.2.`);
+      const socket = dialTcp(ip, isToServer && isCutOff ? closedPort : port);
+      if (isToServer) {
+        sockets.add(socket);
+        socket.once('close', () => sockets.delete(socket));
+      }
+      return socket;
+    },
+  });
   const rows: string[] = [];
   let current: FramingCase | undefined;
+  let nextCase = 0;
   /** Requests that reached a server since the last one was sent. */
   let runs = 0;
 
@@ -579,9 +599,11 @@
   /** Sends the request of a case, and where its connection is still open another one behind it. */
   async function see(framingCase: FramingCase): Promise<SeenResponse> {
     const {method = 'GET'} = framingCase;
-    const connection = new CallerConnection(fixture.hostIp(1));
+    const connection = new CallerConnection(fixture.hostIp(entryHost));
     const startedAtMs = performance.now();
-    const first = await ask(connection, method, '/payment/first', framingCase);
+    // Requests with the same path would be refused as ones that crash their servers.
+    nextCase += 1;
+    const first = await ask(connection, method, `/payment/${nextCase}`, framingCase);
     const durationMs = Math.round(performance.now() - startedAtMs);
     await pause(strayWaitMs);
     const {rest: strayBytes, ...response} = parseResponse(
@@ -614,12 +636,23 @@
       if (runs > 0) {
         return response;
       }
-      expect(response.status).to.equal(503);
+      expect(response.body, 'no server got the request').to.include('"outcome":"not-run"');
       connection.text = '';
       await pause(refusedRetryMs);
     }
   }
 
+  /** Cuts the host off from the servers, and waits until the other host relays its attempts. */
+  async function cutOff(): Promise<void> {
+    isCutOff = true;
+    for (const socket of sockets) {
+      socket.destroy(Object.assign(new Error('reset'), {syscall: 'read'}));
+    }
+    const connection = new CallerConnection(fixture.hostIp(entryHost));
+    await ask(connection, 'GET', '/lookup/next', undefined);
+    connection.close();
+  }
+
   /** True where the caller was told no more than the server declared. */
   function isAllowed(seen: SeenResponse, allowed: Allowed): boolean {
     const isRefused = seen.status !== undefined && seen.status >= 500;
@@ -632,28 +665,38 @@
     return isSameEnd && seen.body === allowed.body;
   }
 
-  for (const [group, cases] of Object.entries({
-    'by its head': headCases,
-    'that its body does not match': bodyCases,
-    'without a body': bodylessCases,
-  })) {
-    describe(group, () => {
-      for (const framingCase of cases) {
-        const {name, ending, allowed, mustPass = false} = framingCase;
-        // Guards against callers that take for whole what their server did not declare so.
-        it(`declares no more to the caller than the server did: ${name}, then ${ending}`, async () => {
-          const seen = await see(framingCase);
-          const shown = describeSeen(seen);
-          rows.push(`| ${name} | ${ending} | ${shown}, ${seen.durationMs} ms |`);
-          expect(isAllowed(seen, allowed), shown).to.equal(true);
-          expect(mustPass && seen.status === 502, shown).to.equal(false);
-          expect(seen.strayBytes).to.equal('');
-          expect(seen.body, 'the request ran').to.not.include('"outcome":"not-run"');
-          if (seen.status === 204) {
-            expect(headerOf(seen.head, 'content-length')).to.equal(undefined);
-            expect(headerOf(seen.head, 'transfer-encoding')).to.equal(undefined);
+  for (const way of ['directly', 'through another host']) {
+    describe(`that a host gets ${way}`, () => {
+      before(async () => {
+        if (way !== 'directly') {
+          await cutOff();
+        }
+      });
+
+      for (const [group, cases] of Object.entries({
+        'by its head': headCases,
+        'that its body does not match': bodyCases,
+        'without a body': bodylessCases,
+      })) {
+        describe(group, () => {
+          for (const framingCase of cases) {
+            const {name, ending, allowed, mustPass = false} = framingCase;
+            // Guards against callers that take for whole what their server did not declare so.
+            it(`declares no more to the caller than the server did: ${name}, then ${ending}`, async () => {
+              const seen = await see(framingCase);
+              const shown = describeSeen(seen);
+              rows.push(`| ${way} | ${name} | ${ending} | ${shown}, ${seen.durationMs} ms |`);
+              expect(isAllowed(seen, allowed), shown).to.equal(true);
+              expect(mustPass && seen.status === 502, shown).to.equal(false);
+              expect(seen.strayBytes).to.equal('');
+              expect(seen.body, 'the request ran').to.not.include('"outcome":"not-run"');
+              if (seen.status === 204) {
+                expect(headerOf(seen.head, 'content-length')).to.equal(undefined);
+                expect(headerOf(seen.head, 'transfer-encoding')).to.equal(undefined);
+              }
+              expect(seen.nextBody).to.be.oneOf(['next', undefined]);
+            });
           }
-          expect(seen.nextBody).to.be.oneOf(['next', undefined]);
         });
       }
     });
