--- a/packages/bench/src/response-ends/bodyOf.ts
+++ b/packages/bench/src/response-ends/bodyOf.ts
@@ -1,3 +1,5 @@
+import {createHash} from 'node:crypto';
+
 /** Length of a line of a body, in bytes. */
 const lineBytes = 64;
 
@@ -12,3 +14,8 @@
   }
   return Buffer.from(lines.join(''), 'latin1').subarray(0, bytes);
 }
+
+/** Digest by which bodies are compared. */
+export function digestOf(bytes: Buffer): string {
+  return createHash('sha256').update(bytes).digest('hex');
+}
--- a/packages/bench/src/response-ends/measureResponseEnds.ts
+++ b/packages/bench/src/response-ends/measureResponseEnds.ts
@@ -1,7 +1,7 @@
 import {renderTable} from '../scenarios/table.ts';
 import type {Row} from '../scenarios/table.ts';
-import {TrialRunner} from './runTrials.ts';
-import type {RunTrialsOptions} from './runTrials.ts';
+import {TrialRunner} from './trialRunner.ts';
+import type {RunTrialsOptions} from './trialRunner.ts';
 import {
   describeFindings,
   tabulateFindings,
--- a/packages/bench/src/response-ends/responseWriter.ts
+++ b/packages/bench/src/response-ends/responseWriter.ts
@@ -1,7 +1,8 @@
 import {createHash} from 'node:crypto';
 import type {Socket} from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
-import type {PlannedResponse, ResponseStep} from './planResponse.ts';
+import type {PlannedResponse} from './planResponse.ts';
+import type {ResponseStep} from './responsePlan.ts';
 import type {AttemptRecord} from './trial.ts';
 
 /** Time between two writes of bytes without end, in ms. */
--- a/packages/bench/src/response-ends/tabulateOutcomes.ts
+++ b/packages/bench/src/response-ends/tabulateOutcomes.ts
@@ -1,7 +1,7 @@
 import type {Row} from '../scenarios/table.ts';
 import {outcomeClasses} from './classifyOutcome.ts';
 import type {OutcomeClass} from './classifyOutcome.ts';
-import type {TrialOutcome} from './runTrials.ts';
+import type {TrialOutcome} from './trialRunner.ts';
 
 /** Classes of outcomes that nothing allows. */
 export const violationClasses: readonly OutcomeClass[] = ['falselyDeclared', 'falselyClosed'];
--- a/packages/bench/src/response-ends/trialServer.ts
+++ b/packages/bench/src/response-ends/trialServer.ts
@@ -2,7 +2,7 @@
 import type {Server, Socket} from 'node:net';
 import {MessageReader} from './messageReader.ts';
 import {planResponse} from './planResponse.ts';
-import type {EarlierResponse} from './planResponse.ts';
+import type {EarlierResponse} from './lateCopy.ts';
 import {ResponseWriter} from './responseWriter.ts';
 import type {RunningTrials} from './runningTrials.ts';
 
