--- a/packages/bench/src/__tests__/responseEnds.test.ts
+++ b/packages/bench/src/__tests__/responseEnds.test.ts
@@ -10,7 +10,7 @@
 import {TrialFleet} from '../response-ends/trialFleet.ts';
 
 const seed = 7;
-const requests = 200;
+const requests = 240;
 /** Subnets of this test; those of the bench program differ, so that both may run at a time. */
 const firstSubnet = 10;
 /** Ways on which neither the host nor a timeout ends a response. */
