--- a/packages/proxy/src/backends/backendTask.ts
+++ b/packages/proxy/src/backends/backendTask.ts
@@ -7,6 +7,7 @@
 } from '@godwitspring/core';
 import {ResponseMemoryBudget} from '@godwitspring/core';
 import {errors} from 'undici';
+import type {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
 import type {PendingResponse} from '../callers/exchange.ts';
 import {endToEndHeaders} from '../callers/headers.ts';
@@ -29,6 +30,8 @@
   undeclaredEndHeader,
 } from '../attempt-relay/relayHeaders.ts';
 import {bufferResponse} from './bufferResponse.ts';
+import type {BufferedResponse} from './bufferResponse.ts';
+import type {SoundChunksOptions} from './soundChunks.ts';
 import {bodyFramingOf} from './bodyFramingOf.ts';
 import {errorCode, failureReasonOf} from './failureReasonOf.ts';
 import {discardBody} from './discardBody.ts';
@@ -279,17 +282,26 @@
       this.#running.delete(attemptKey);
       pool.discard(connection);
       if (error instanceof RepeatedResponseError) {
-        this.#options.count('server.malformed', {reason: 'repeated'});
         pool.reportStrayBytes();
       }
       if (!controller.signal.aborted) {
-        const failed = classifyFailure(error, connection, run);
-        const reason = failureReasonOf(error);
-        this.#options.postToCore({type: 'attemptFailed', requestId, attempt, ...failed, reason});
+        this.#reportFailed(run, connection, error);
       }
     }
   }
 
+  /** Reports an attempt to the core that an error ended, and counts what was wrong with its response. */
+  #reportFailed(run: RunAttempt, connection: ServerConnection, error: unknown): void {
+    const {requestId, attempt} = run;
+    const {count, postToCore} = this.#options;
+    const reason = failureReasonOf(error);
+    if (reason !== undefined) {
+      count('server.malformed', {reason});
+    }
+    const failed = classifyFailure(error, connection, run);
+    postToCore({type: 'attemptFailed', requestId, attempt, ...failed, reason});
+  }
+
   /** Ends an attempt whose server sends interim responses without end, and reports it to the core as malformed. */
   #failForInterimResponses(run: RunAttempt, controller: AbortController): void {
     if (controller.signal.aborted) {
@@ -325,8 +337,7 @@
     connection: ServerConnection,
   ): Promise<void> {
     const {requestId, attempt, notRunHeader} = run;
-    const {dialect, timers, bufferedResponseBytes, maxUndeclaredBytes, responseMemory} =
-      this.#options;
+    const {dialect} = this.#options;
     const {statusCode: status, body} = response;
     if (run.relayHostId !== undefined && response.headers[relayNotSentHeader] !== undefined) {
       body.on('error', () => undefined).destroy();
@@ -364,27 +375,15 @@
     const headers = endToEndHeaders(response.headers, dropped);
     const framing = framingOf(run, response);
     this.#options.count('server.response', {framing});
-    const options = {
-      framing,
-      wasReset: () => connection.wasReset,
-      onRead: () => connection.socket?.resumeReads(),
-      memory: responseMemory.open(),
-      repeats: new RepeatedResponseDetector({
-        requestNameHeader: dialect.requestNameHeader,
-        attemptNames: connection.attemptNames,
-      }),
-    };
-    const buffered =
-      framing === 'close'
-        ? await readUndeclaredBody(body, {...options, timers, maxBytes: maxUndeclaredBytes})
-        : await bufferResponse(body, {...options, maxBytes: bufferedResponseBytes});
+    const received = await this.#readBody(body, framing, connection);
+    const bodyBytes = received.wholeBytes;
     this.#options.answer(requestId, {
       attempt,
       status,
       headers,
-      body: buffered.body,
+      body: received.body,
       framing,
-      bodyBytes: buffered.wholeBytes,
+      bodyBytes,
     });
     const {reportsNotRun, isMisdirected} = classification;
     this.#options.postToCore({
@@ -395,10 +394,39 @@
       reportsNotRun,
       isMisdirected,
       framing,
-      bodyBytes: buffered.wholeBytes,
+      bodyBytes,
     });
   }
 
+  /** Reads the start of a body, or all of it where its end is not declared, so that it can be passed on. */
+  async #readBody(
+    body: Readable,
+    framing: BodyFraming,
+    connection: ServerConnection,
+  ): Promise<BufferedResponse> {
+    const {timers, bufferedResponseBytes, maxUndeclaredBytes, responseMemory} = this.#options;
+    const options = {
+      ...this.#checksOf(framing, connection),
+      memory: responseMemory.open(),
+    };
+    return framing === 'close'
+      ? readUndeclaredBody(body, {...options, timers, maxBytes: maxUndeclaredBytes})
+      : bufferResponse(body, {...options, maxBytes: bufferedResponseBytes});
+  }
+
+  /** How the chunks of a body that arrives on a connection are checked. */
+  #checksOf(framing: BodyFraming, connection: ServerConnection): SoundChunksOptions {
+    return {
+      framing,
+      wasReset: () => connection.wasReset,
+      onRead: () => connection.socket?.resumeReads(),
+      repeats: new RepeatedResponseDetector({
+        requestNameHeader: this.#options.dialect.requestNameHeader,
+        attemptNames: connection.attemptNames,
+      }),
+    };
+  }
+
   /** Reports to the core the servers to which an idle connection is open, where that changed; drops empty pools. */
   #reportIdleConnections(): void {
     const idleServerIds: string[] = [];
@@ -433,15 +461,8 @@
         headersTimeout: timeoutMs,
         signal: AbortSignal.timeout(timeoutMs),
       });
-      await discardBody(response.body, {
-        framing: bodyFramingOf({method: 'GET', ...response}),
-        wasReset: () => connection.wasReset,
-        onRead: () => undefined,
-        repeats: new RepeatedResponseDetector({
-          requestNameHeader: this.#options.dialect.requestNameHeader,
-          attemptNames: connection.attemptNames,
-        }),
-      });
+      const framing = bodyFramingOf({method: 'GET', ...response});
+      await discardBody(response.body, this.#checksOf(framing, connection));
       isHealthy = response.statusCode < 400;
       pool.release(connection);
     } catch (error) {
