Log queries for registry data without a reply, and how a version reached a host

The log had only a failed source in use, and configuration.inForce did not name the host that read the version nor how long the sender had had it. Now registry.unanswered names each host that did not reply, the standby too, and configuration.inForce has readByHostId and heldMs, so that each step from the registry to a host is in the logs. No change of behaviour.

--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -407,6 +407,8 @@
   isWhole: z.boolean(),
   /** Whether they are all that a process knows that has had registry data for longer than the one that queries. */
   isFromOlderProcess: z.boolean().optional(),
+  /** Time for which the sender has had its newest changes, in ms. */
+  heldMs: z.number().min(0).optional(),
   epoch: epochSchema,
   revision: versionSchema,
   documentVersion: versionSchema,
--- a/packages/core/src/registry/registryAnnouncer.ts
+++ b/packages/core/src/registry/registryAnnouncer.ts
@@ -14,6 +14,18 @@
   readonly hedging: HedgingSettings | undefined;
 }
 
+/** How a document reached this host. */
+export interface DocumentOrigin {
+  /** Host that sent it, or `registry`. */
+  readonly from: string;
+  /** Host that read it from the registry. */
+  readonly readByHostId: string;
+  /** Age of the newest registry data, in ms. */
+  readonly ageMs: number;
+  /** Time for which the sender had had its newest data, in ms; undefined for the registry. */
+  readonly heldMs: number | undefined;
+}
+
 /** Announces to the other tasks of a host, and in its log, what the registry holds and how recent that is. */
 export class RegistryAnnouncer {
   readonly #options: RegistryAnnouncerOptions;
@@ -28,7 +40,7 @@
   }
 
   /** Announces the document if its version is not in force yet. */
-  announceDocument(from: string, ageMs: number): readonly CoreMessage[] {
+  announceDocument({from, readByHostId, ageMs, heldMs}: DocumentOrigin): readonly CoreMessage[] {
     const {document} = this.#view;
     const announcedVersion = this.#announcedVersion ?? -1;
     if (document === undefined || document.version <= announcedVersion) {
@@ -38,7 +50,9 @@
       version: document.version,
       before: this.#announcedVersion ?? 0,
       from,
+      readByHostId,
       ageMs: Math.round(ageMs),
+      heldMs,
       routes: document.routes.length,
       customers: document.customers.length,
     };
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -66,6 +66,8 @@
   readonly from: string;
   /** Host that read the data from the registry. */
   readonly readByHostId: string;
+  /** Time for which the sender had had its newest data when it sent it, in ms; undefined for the registry. */
+  readonly heldMs?: number | undefined;
   readonly nowMs: number;
 }
 
@@ -137,6 +139,8 @@
   #readByHostId: string | undefined;
   /** Newest position that each host announced while a query to it was under way. */
   readonly #noticedPositions = new Map<string, RegistryPosition>();
+  /** When the position of the view last moved on, on the own clock, in ms. */
+  #positionSinceMs = 0;
   /** When this host first had registry data, on the own clock, in ms; undefined before. */
   #firstDataAtMs: number | undefined;
   /** True once an older process told everything that it knows, beyond what the registry holds. */
@@ -271,9 +275,14 @@
   /** Moves on to the next source if the one in use did not reply in time. */
   #checkUnanswered(nowMs: number): readonly CoreMessage[] {
     const unansweredHostIds = this.#queries.endUnanswered(nowMs - this.#options.replyTimeoutMs);
-    return unansweredHostIds.includes(this.#sources.current)
-      ? this.#onSourceFailed('no answer', nowMs)
-      : [];
+    const {current} = this.#sources;
+    const logs = unansweredHostIds.map((hostId): CoreMessage => {
+      const fields = {hostId, isSource: hostId === current};
+      return {type: 'log', level: 'info', event: 'registry.unanswered', fields};
+    });
+    return unansweredHostIds.includes(current)
+      ? [...logs, ...this.#onSourceFailed('no answer', nowMs)]
+      : logs;
   }
 
   #sendQuery(toHostId: string, nowMs: number): readonly CoreMessage[] {
@@ -423,6 +432,7 @@
       readByHostId: this.#readByHostId,
       isWhole,
       isFromOlderProcess: isYounger && isWhole ? true : undefined,
+      heldMs: Math.max(0, Math.round(nowMs - this.#positionSinceMs)),
       ...this.#view.position,
       documentVersion: this.#view.document?.version ?? 0,
       isDocumentUnreadable: this.#view.isDocumentUnreadable ? true : undefined,
@@ -463,6 +473,7 @@
       asOfMs: isBehind ? Number.NEGATIVE_INFINITY : queriedAtMs - ageMs,
       from: fromHostId,
       readByHostId,
+      heldMs: reply.heldMs,
       nowMs,
     });
     const messages = [...applied, ...this.#queryNoticedChange(fromHostId, nowMs)];
@@ -541,10 +552,14 @@
   /** Applies registry data to the view and announces to the other tasks what changed. */
   #applyUpdate(
     update: RegistryUpdate,
-    {asOfMs, from, readByHostId, nowMs}: UpdateOrigin,
+    {asOfMs, from, readByHostId, heldMs, nowMs}: UpdateOrigin,
   ): readonly CoreMessage[] {
     const positionBefore = this.#view.position;
     const haveServersChanged = this.#view.apply(update, nowMs);
+    const hasMovedOn = isAfter(this.#view.position, positionBefore);
+    if (hasMovedOn) {
+      this.#positionSinceMs = nowMs;
+    }
     this.#firstDataAtMs ??= nowMs;
     // A document that cannot be read may withdraw keys: what is known does not become fresher.
     if (asOfMs >= this.#confirmedAtMs && !this.#view.isDocumentUnreadable) {
@@ -552,10 +567,15 @@
       this.#readByHostId = readByHostId;
     }
     return [
-      ...this.#announcer.announceDocument(from, nowMs - this.#confirmedAtMs),
+      ...this.#announcer.announceDocument({
+        from,
+        readByHostId,
+        ageMs: nowMs - this.#confirmedAtMs,
+        heldMs,
+      }),
       ...(haveServersChanged ? this.#announcer.announceServers(nowMs) : []),
       ...this.#announcer.announceFreshUntil(this.#confirmedAtMs),
-      ...(isAfter(this.#view.position, positionBefore) ? this.#notifySubscribers(nowMs) : []),
+      ...(hasMovedOn ? this.#notifySubscribers(nowMs) : []),
     ];
   }
 
