--- a/packages/bench/src/__tests__/lateConfiguration.test.ts
+++ b/packages/bench/src/__tests__/lateConfiguration.test.ts
@@ -1,3 +1,4 @@
+import {SeededRandom} from '@godwitspring/core';
 import type {HashFunction} from '@godwitspring/core';
 import {loadXxHash} from '@godwitspring/proxy';
 import {expect} from 'chai';
@@ -74,6 +75,36 @@
     return late.map((text) => `seed ${seed}, ${text}`);
   }
 
+  /** Cuts hosts off from all others and from the registry. */
+  function cutOff(fleet: GrayFailureFleet, hostIds: readonly string[]): void {
+    for (const hostId of hostIds) {
+      fleet.registry.silentHostIds.add(hostId);
+      for (const otherId of fleet.hosts.keys()) {
+        fleet.network.cut(hostId, otherId);
+        fleet.network.cut(otherId, hostId);
+      }
+    }
+  }
+
+  /**
+   * Hosts in touch on which the last of three versions, published within 0.12 s just after a cut, is not in force in
+   * time.
+   */
+  function lateAfterCut(fleet: GrayFailureFleet, cutIds: readonly string[]): string[] {
+    cutOff(fleet, cutIds);
+    const sinceCutMs = [80, 140, 200];
+    const cutAtMs = fleet.queue.nowMs;
+    for (const [index, afterMs] of sinceCutMs.entries()) {
+      fleet.queue.runUntil(cutAtMs + afterMs);
+      fleet.publish([{kind: 'document', document: grayFailureDocument(2 + index)}]);
+    }
+    fleet.queue.runUntil(fleet.queue.nowMs + inForceMs);
+    return [...fleet.hosts.values()]
+      .filter(({id}) => !cutIds.includes(id))
+      .filter((host) => Number(host.status().registry?.version) < 1 + sinceCutMs.length)
+      .map(({id, dataCentre}) => `${id} in ${dataCentre}`);
+  }
+
   /** Leaves the calls of hosts to the registry without a response. */
   function silence(fleet: GrayFailureFleet, hostIds: readonly string[]): readonly string[] {
     for (const hostId of hostIds) {
@@ -195,4 +226,29 @@
     );
     expect(late).to.deep.equal([]);
   });
+
+  // Guards against hosts that wait for one silent source after the other.
+  it('withdraws keys in time where a third of the hosts is cut off just before', () => {
+    const late = [20, 21, 22, 23, 24, 25].flatMap((seed) => {
+      const fleet = createGrayFailureFleet(hash, {seed, hosts: 48});
+      fleet.queue.runUntil(startupMs + seed * 131);
+      const random = new SeededRandom(seed);
+      const cutIds = [...fleet.hosts.keys()].filter(() => random.nextInt(1_000) < 330);
+      return lateAfterCut(fleet, cutIds).map((host) => `seed ${seed}, ${host}`);
+    });
+    expect(late).to.deep.equal([]);
+  }).timeout(60_000);
+
+  it('withdraws keys in time where the readers and the relays of a data centre are cut off just before', () => {
+    const late = seeds.flatMap((seed) => {
+      const fleet = startFleet(seed);
+      const relayIds = [...fleet.hosts.values()]
+        .filter(({dataCentre}) => dataCentre === 'dc-1')
+        .filter((host) => host.status().registry?.role !== 'follower')
+        .map(({id}) => id);
+      const cutIds = [...new Set([...relayIds, ...readerIds(fleet)])];
+      return lateAfterCut(fleet, cutIds).map((host) => `seed ${seed}, ${host}`);
+    });
+    expect(late).to.deep.equal([]);
+  });
 });
