Withdrawn keys are in force in time where several hosts are cut off at once

Cause: a host has two paths to the registry. When both failed together, it queried its sources one after the other, 300 ms each, ignored the silence of its standby, and started over at a silent source whenever the member list changed; other hosts that had the version did not tell it. A notice whose fetch was lost waited for the next query in turn. Class: failures that are detected in sequence, with a bound that counts on their independence.

Change: an urgent change (version, data centre out of service, server that leaves) is announced to the gossip neighbours as well as to the hosts that query; a fetch without a reply is repeated after 100 ms at another host that announced the change; silence of any host is remembered for 3 s; the source in use is queried as soon as the standby is silent, and all sources and neighbours at once when it is silent too.

The two new tests of RegistryTask fail on the code before.

--- a/packages/core/src/__tests__/registryTask.test.ts
+++ b/packages/core/src/__tests__/registryTask.test.ts
@@ -115,6 +115,39 @@
     expect(later).to.equal(undefined);
   });
 
+  // Guards against a change that is missed until the next query in turn because one reply was lost.
+  it('queries the host that announced a change again where the reply to the query under way is lost', () => {
+    const task = createFollower();
+    task.receive({type: 'timerFired', timerId: 'registry.tick'}, settledAtMs);
+    const changed = {type: 'registryChanged' as const, epoch: 0, revision: 2};
+    task.receive(
+      {type: 'peerMessageReceived', fromHostId: 'd', message: changed},
+      settledAtMs + 10,
+    );
+    const isQueried = [60, 110, 160].some((afterMs) => {
+      const tick = {type: 'timerFired', timerId: 'registry.tick'} as const;
+      return sentQuery(task.receive(tick, settledAtMs + afterMs))?.toHostId === 'd';
+    });
+    expect(isQueried).to.equal(true);
+  });
+
+  it('queries another host that announced the same change where the first does not reply', () => {
+    const task = createFollower();
+    const changed = {type: 'registryChanged' as const, epoch: 0, revision: 2};
+    const queriedIds: (string | undefined)[] = [];
+    for (const fromHostId of ['b', 'c']) {
+      const messages = task.receive(
+        {type: 'peerMessageReceived', fromHostId, message: changed},
+        settledAtMs,
+      );
+      queriedIds.push(sentQuery(messages)?.toHostId);
+    }
+    const tick = {type: 'timerFired', timerId: 'registry.tick'} as const;
+    const later = task.receive(tick, settledAtMs + 110).map((message) => sentQuery([message]));
+    expect(queriedIds).to.deep.equal(['b', undefined]);
+    expect(later.map((query) => query?.toHostId)).to.include('c');
+  });
+
   // Guards against a new process that believes a registry that returned from a copy.
   it('believes an older process rather than the copy that it read itself', () => {
     const entry = (state: 'in-service' | 'draining', writeCount: number): RegistryChange => ({
--- a/packages/core/src/registry/registrySources.ts
+++ b/packages/core/src/registry/registrySources.ts
@@ -7,6 +7,9 @@
 /** Hosts of each data centre that relay registry data to the others there. */
 const localRelayCount = 2;
 
+/** Time for which a host that did not reply is passed over, in ms. */
+const silenceMs = 3_000;
+
 /** Hosts whose processes start within this time count as started together, in ms. */
 const fleetStartMs = 2_000;
 
@@ -33,6 +36,8 @@
  */
 export class RegistrySources {
   readonly #options: RegistrySourcesOptions;
+  /** Until when each host that did not reply is passed over, on the own clock, in ms. */
+  readonly #silentUntilMs = new Map<string, number>();
   #sourceIds: readonly string[];
   #index = 0;
   #role: RegistryRole = 'follower';
@@ -59,10 +64,39 @@
     return this.current === this.#options.selfId;
   }
 
-  /** Host that is queried besides the source in use: the most preferred other one; undefined where there is none. */
-  get standby(): string | undefined {
+  /**
+   * Host that is queried besides the source in use: the most preferred other one, if possible one that replies;
+   * undefined where there is none.
+   */
+  standby(nowMs: number): string | undefined {
     const {selfId} = this.#options;
-    return this.#sourceIds.find((id) => id !== this.current && id !== selfId);
+    const otherIds = this.#sourceIds.filter((id) => id !== this.current && id !== selfId);
+    return otherIds.find((id) => !this.#isSilent(id, nowMs)) ?? otherIds[0];
+  }
+
+  /** Hosts other than this one that are sources and do not count as silent. */
+  usableHostIds(nowMs: number): string[] {
+    const {selfId} = this.#options;
+    return this.#sourceIds.filter((id) => id !== selfId && !this.#isSilent(id, nowMs));
+  }
+
+  /** Records that a host did not reply. */
+  recordSilence(hostId: string, nowMs: number): void {
+    this.#silentUntilMs.set(hostId, nowMs + silenceMs);
+  }
+
+  /** Records that a host replied. */
+  recordReply(hostId: string): void {
+    this.#silentUntilMs.delete(hostId);
+  }
+
+  #isSilent(hostId: string, nowMs: number): boolean {
+    return nowMs < (this.#silentUntilMs.get(hostId) ?? nowMs);
+  }
+
+  /** True if a host is among the sources. */
+  has(hostId: string): boolean {
+    return this.#sourceIds.includes(hostId);
   }
 
   /** True if a host is preferred to the source in use. */
@@ -82,8 +116,11 @@
     return this.#sourceIds[0] === this.#options.selfId;
   }
 
-  /** Recomputes the order of the sources from the live hosts; a changed order starts at its first source. */
-  setLiveHosts(liveHosts: readonly LiveHost[]): void {
+  /**
+   * Recomputes the order of the sources from the live hosts. A changed order starts at its first source, unless that
+   * one is silent and the source in use remains.
+   */
+  setLiveHosts(liveHosts: readonly LiveHost[], nowMs: number): void {
     const {selfId} = this.#options;
     const readerIds = this.#rankedIds('', liveHosts).slice(0, fleetReaderCount);
     const relayIds: string[] = [];
@@ -113,15 +150,20 @@
       ...new Set([...preferredIds, ...readerIds, ...relayIds, ...remoteRelayIds, selfId]),
     ];
     if (sourceIds.join(' ') !== this.#sourceIds.join(' ')) {
+      const {current} = this;
       this.#sourceIds = sourceIds;
-      this.#index = 0;
+      const [firstId = selfId] = sourceIds;
+      this.use(this.#isSilent(firstId, nowMs) ? current : firstId);
     }
   }
 
-  /** Moves on to the next source; returns true if every source was tried and the first is next. */
-  advance(): boolean {
-    this.#index = (this.#index + 1) % this.#sourceIds.length;
-    return this.#index === 0;
+  /** Moves on to the next source that is not silent; returns true if every source was tried and the first is next. */
+  advance(nowMs: number): boolean {
+    const nextIndex = this.#sourceIds.findIndex(
+      (id, index) => index > this.#index && !this.#isSilent(id, nowMs),
+    );
+    this.#index = Math.max(0, nextIndex);
+    return nextIndex < 0;
   }
 
   /** Returns to the first source. */
--- a/packages/core/src/registry/registrySubscribers.ts
+++ b/packages/core/src/registry/registrySubscribers.ts
@@ -13,16 +13,18 @@
     this.#queriedAtMsByHost.set(hostId, nowMs);
   }
 
-  /** Sends a message to every host that queried lately. */
-  notify(message: PeerMessage, nowMs: number): CoreMessage[] {
-    const messages: CoreMessage[] = [];
+  /** Sends a message to every host that queried lately, and to some others. */
+  notify(
+    message: PeerMessage,
+    nowMs: number,
+    otherHostIds: readonly string[] = [],
+  ): readonly CoreMessage[] {
     for (const [hostId, queriedAtMs] of this.#queriedAtMsByHost) {
       if (nowMs - queriedAtMs > queryMemoryMs) {
         this.#queriedAtMsByHost.delete(hostId);
-        continue;
       }
-      messages.push({type: 'sendToPeer', toHostId: hostId, message});
     }
-    return messages;
+    const hostIds = new Set([...this.#queriedAtMsByHost.keys(), ...otherHostIds]);
+    return [...hostIds].map((toHostId) => ({type: 'sendToPeer', toHostId, message}));
   }
 }
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -1,4 +1,4 @@
-import type {HedgingSettings} from '@godwitspring/document';
+import type {HedgingSettings, RegistryChange} from '@godwitspring/document';
 import type {FleetBounds} from '../fleet/fleetBounds.ts';
 import type {CoreTask} from '../host/coreTask.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
@@ -6,12 +6,13 @@
 import type {PeerMessage, RegistryAnswer, RegistryAsk} from '../messages/peerMessages.ts';
 import type {HashFunction} from '../hash/hashFunction.ts';
 import type {RandomSource} from '../random/randomSource.ts';
+import {chooseNeighbours} from '../roster/chooseNeighbours.ts';
+import {NoticedChanges, fetchTimeoutMs} from './noticedChanges.ts';
 import {PendingQueries} from './pendingQueries.ts';
 import {RegistryAnnouncer} from './registryAnnouncer.ts';
 import {RegistrySources} from './registrySources.ts';
 import {RegistrySubscribers} from './registrySubscribers.ts';
 import {isAfter} from './registryPosition.ts';
-import type {RegistryPosition} from './registryPosition.ts';
 import {RegistryView} from './registryView.ts';
 import type {RegistryUpdate} from './registryView.ts';
 import {StartGate} from './startGate.ts';
@@ -28,6 +29,15 @@
   readonly firstNonce: number;
   /** Interval between queries to a peer, in ms. Default: 700. */
   readonly queryIntervalMs: number;
+  /** The same for a relay, whose delay adds to that of the hosts of its data centre. Default: 400. */
+  readonly relayQueryIntervalMs: number;
+  /** Interval of the timer that sends queries and checks freshness, in ms. Default: 50. */
+  readonly tickIntervalMs: number;
+  /**
+   * Delay before a host of another data centre that is no source is queried for a change that it announced, in ms, so
+   * that most hosts get it within their data centre. Default: 100.
+   */
+  readonly remoteFetchDelayMs: number;
   /** Longest wait for a peer's reply, in ms. Default: 300, far above a round trip between data centres. */
   readonly replyTimeoutMs: number;
   /**
@@ -51,6 +61,9 @@
 export const DEFAULT_REGISTRY_OPTIONS = {
   firstNonce: 1,
   queryIntervalMs: 700,
+  relayQueryIntervalMs: 400,
+  tickIntervalMs: 50,
+  remoteFetchDelayMs: 100,
   replyTimeoutMs: 300,
   maxReplyAgeMs: 1_300,
   isFirstStart: false,
@@ -76,9 +89,14 @@
   'selfId' | 'dataCentre' | 'hash' | 'bounds' | 'random'
 >;
 
+/** True for a change after which a server gets no more requests. */
+function takesServerOut(change: RegistryChange): boolean {
+  return (
+    change.kind === 'serverGone' || (change.kind === 'server' && change.server.state === 'draining')
+  );
+}
+
 const timerId = 'registry.tick';
-/** Interval of the timer that sends queries and checks freshness, in ms. */
-const tickIntervalMs = 50;
 /** Pause before a peer that has no registry data yet is queried again, in ms. */
 const emptyPeerRetryMs = 40;
 /** Delay after all sources failed before the first is tried again, in ms; readers find first that the registry is back. */
@@ -99,7 +117,8 @@
  *
  * Two hosts watch the registry for the fleet; every other host queries two peers in turn, its source and a
  * standby, and reads the registry only if its peers fail (see `RegistrySources`). A host that has new data notifies
- * the hosts that queried it, which fetch it at once, whether or not it is the source that they use.
+ * the hosts that queried it, and its neighbours of changes that must be in force soon. Those fetch it at once,
+ * whether or not it is the source that they use, so that a change reaches every host that is connected to one which has it.
  *
  * Registry data names the host that read it. A host whose own source fails does not count a peer as working
  * that only has data which this host read itself, and leaves a source that works only once a preferred one does:
@@ -137,8 +156,10 @@
   #confirmedAtMs = Number.NEGATIVE_INFINITY;
   /** Host that read the newest of the data from the registry; undefined before the first. */
   #readByHostId: string | undefined;
-  /** Newest position that each host announced while a query to it was under way. */
-  readonly #noticedPositions = new Map<string, RegistryPosition>();
+  readonly #noticedChanges = new NoticedChanges();
+  /** Hosts that this host notifies of urgent changes although they do not query it. */
+  #neighbourIds: readonly string[] = [];
+  #localHostIds: ReadonlySet<string> = new Set();
   /** When the position of the view last moved on, on the own clock, in ms. */
   #positionSinceMs = 0;
   /** When this host first had registry data, on the own clock, in ms; undefined before. */
@@ -206,7 +227,13 @@
   #onRosterChanged({live}: RosterChanged, nowMs: number): readonly CoreMessage[] {
     this.#startGate.recordRoster(live.length, nowMs);
     const previousSource = this.#sources.current;
-    this.#sources.setLiveHosts(live);
+    this.#sources.setLiveHosts(live, nowMs);
+    const {localIds, remoteIds} = chooseNeighbours(this.#options, live);
+    this.#neighbourIds = [...localIds, ...remoteIds];
+    const {dataCentre} = this.#options;
+    this.#localHostIds = new Set(
+      live.filter((host) => host.dataCentre === dataCentre).map(({hostId}) => hostId),
+    );
     if (!this.#hasData) {
       this.#sources.useForFirstData(live);
     }
@@ -223,7 +250,11 @@
 
   #onTick(nowMs: number): readonly CoreMessage[] {
     this.#startGate.recordStart(nowMs);
-    const timer: CoreMessage = {type: 'timerWanted', timerId, atMs: nowMs + tickIntervalMs};
+    const timer: CoreMessage = {
+      type: 'timerWanted',
+      timerId,
+      atMs: nowMs + this.#options.tickIntervalMs,
+    };
     if (!this.#hasData && !this.#startGate.isOpen(nowMs)) {
       return [timer];
     }
@@ -231,6 +262,7 @@
       timer,
       ...this.#checkUnanswered(nowMs),
       ...this.#pollSource(nowMs),
+      ...this.#fetchNoticed(nowMs),
       ...this.#announcer.announceServersIfExpired(nowMs),
       ...this.#announcer.logFreshnessChange(nowMs - this.#confirmedAtMs),
     ];
@@ -249,7 +281,7 @@
   /** Queries the source in use or its standby when a query is due, and watches the registry where that is the source. */
   #pollSource(nowMs: number): readonly CoreMessage[] {
     const messages: CoreMessage[] = [];
-    const {current, standby, isSelf} = this.#sources;
+    const {current, isSelf} = this.#sources;
     const isDue = nowMs >= this.#nextQueryAtMs;
     if (isSelf) {
       messages.push(...(isDue ? this.#setWatching(true) : []));
@@ -260,9 +292,11 @@
     if (!isDue) {
       return messages;
     }
-    this.#nextQueryAtMs = nowMs + this.#options.queryIntervalMs;
+    const {queryIntervalMs, relayQueryIntervalMs} = this.#options;
+    this.#nextQueryAtMs =
+      nowMs + (this.#sources.role === 'relay' ? relayQueryIntervalMs : queryIntervalMs);
     // A host that reads the registry queries its standby each time: a new process also gets what others know that way.
-    const target = isSelf || this.#isStandbyNext ? standby : current;
+    const target = isSelf || this.#isStandbyNext ? this.#sources.standby(nowMs) : current;
     this.#isStandbyNext = !this.#isStandbyNext;
     return target === undefined ? messages : [...messages, ...this.#sendQuery(target, nowMs)];
   }
@@ -272,23 +306,44 @@
     return this.#sources.isRegistryPreferred && nowMs >= this.#preferredSourceRetryAtMs;
   }
 
-  /** Moves on to the next source if the one in use did not reply in time. */
+  /**
+   * Moves on to the next source if the one in use did not reply in time, and queries it at once if another host did not,
+   * as both may have failed together.
+   */
   #checkUnanswered(nowMs: number): readonly CoreMessage[] {
     const unansweredHostIds = this.#queries.endUnanswered(nowMs - this.#options.replyTimeoutMs);
-    const {current} = this.#sources;
-    const logs = unansweredHostIds.map((hostId): CoreMessage => {
+    if (unansweredHostIds.length === 0) {
+      return [];
+    }
+    const {current, isSelf} = this.#sources;
+    const messages: CoreMessage[] = [];
+    for (const hostId of unansweredHostIds) {
+      this.#sources.recordSilence(hostId, nowMs);
+      this.#noticedChanges.forget(hostId);
       const fields = {hostId, isSource: hostId === current};
-      return {type: 'log', level: 'info', event: 'registry.unanswered', fields};
-    });
-    return unansweredHostIds.includes(current)
-      ? [...logs, ...this.#onSourceFailed('no answer', nowMs)]
-      : logs;
+      messages.push({type: 'log', level: 'info', event: 'registry.unanswered', fields});
+    }
+    if (unansweredHostIds.includes(current)) {
+      return [...messages, ...this.#onSourceFailed('no answer', nowMs), ...this.#queryAll(nowMs)];
+    }
+    return isSelf ? messages : [...messages, ...this.#sendQuery(current, nowMs)];
   }
 
+  /**
+   * Queries every source that may reply, and the neighbours, which then notify this host of what is new: the silence of
+   * several sources is not waited for one after the other.
+   */
+  #queryAll(nowMs: number): readonly CoreMessage[] {
+    const hostIds = new Set([...this.#sources.usableHostIds(nowMs), ...this.#neighbourIds]);
+    return [...hostIds].flatMap((hostId) => this.#sendQuery(hostId, nowMs));
+  }
+
+  /** Sends a query to a host unless one is under way. */
   #sendQuery(toHostId: string, nowMs: number): readonly CoreMessage[] {
-    if (this.#queries.isPending(toHostId)) {
-      return [];
-    }
+    return this.#queries.isPending(toHostId) ? [] : this.#sendAnotherQuery(toHostId, nowMs);
+  }
+
+  #sendAnotherQuery(toHostId: string, nowMs: number): readonly CoreMessage[] {
     const message = {
       type: 'registryAsk' as const,
       nonce: this.#queries.start(toHostId, nowMs),
@@ -320,7 +375,7 @@
   #onSourceFailed(reason: string, nowMs: number): readonly CoreMessage[] {
     const failedSource = this.#sources.current;
     this.#isFailing = true;
-    const hasTriedAll = this.#sources.advance() || this.#mustSkipRegistry();
+    const hasTriedAll = this.#sources.advance(nowMs) || this.#mustSkipRegistry();
     if (hasTriedAll) {
       this.#sources.reset();
       this.#hasPeerReplied = false;
@@ -394,9 +449,15 @@
         return this.#replyTo(fromHostId, message, nowMs);
       case 'registryAnswer':
         return this.#onReply(fromHostId, message, nowMs);
-      case 'registryChanged':
-        this.#noticedPositions.set(fromHostId, message);
-        return this.#queryNoticedChange(fromHostId, nowMs);
+      case 'registryChanged': {
+        this.#noticedChanges.record(
+          fromHostId,
+          message,
+          nowMs,
+          this.#fetchDelayMs(fromHostId, nowMs),
+        );
+        return this.#fetchNoticed(nowMs);
+      }
       case 'registryLost':
         return fromHostId === this.#sources.current
           ? this.#onSourceFailed('lost the registry', nowMs)
@@ -406,15 +467,20 @@
     }
   }
 
-  /** Queries a host if it announced changes that this host does not have, after the query that is under way. */
-  #queryNoticedChange(fromHostId: string, nowMs: number): readonly CoreMessage[] {
-    if (this.#queries.isPending(fromHostId)) {
-      return [];
+  /** Time for which a host that announces a change is not queried for it, in ms. */
+  #fetchDelayMs(hostId: string, nowMs: number): number {
+    if (this.#queries.isPending(hostId)) {
+      // The reply ends the wait; it may be lost.
+      return fetchTimeoutMs;
     }
-    const noticed = this.#noticedPositions.get(fromHostId);
-    this.#noticedPositions.delete(fromHostId);
-    const isNeeded = noticed !== undefined && isAfter(noticed, this.#view.position);
-    return isNeeded ? this.#sendQuery(fromHostId, nowMs) : [];
+    const isRegular = hostId === this.#sources.current || hostId === this.#sources.standby(nowMs);
+    return isRegular || this.#localHostIds.has(hostId) ? 0 : this.#options.remoteFetchDelayMs;
+  }
+
+  /** Queries a host that announced changes which this host does not have. */
+  #fetchNoticed(nowMs: number): readonly CoreMessage[] {
+    const hostId = this.#noticedChanges.next(this.#view.position, nowMs);
+    return hostId === undefined ? [] : this.#sendAnotherQuery(hostId, nowMs);
   }
 
   #replyTo(fromHostId: string, query: RegistryAsk, nowMs: number): readonly CoreMessage[] {
@@ -456,6 +522,8 @@
       return [];
     }
     this.#hasPeerReplied = true;
+    this.#sources.recordReply(fromHostId);
+    this.#noticedChanges.recordReply(fromHostId, queriedAtMs);
     const isInUse = fromHostId === this.#sources.current;
     const {ageMs} = reply;
     if (ageMs === undefined) {
@@ -476,7 +544,7 @@
       heldMs: reply.heldMs,
       nowMs,
     });
-    const messages = [...applied, ...this.#queryNoticedChange(fromHostId, nowMs)];
+    const messages = [...applied, ...this.#fetchNoticed(nowMs)];
     const reason = this.#reasonNotToUse(reply, readByHostId);
     if (reason !== undefined) {
       return isInUse ? [...messages, ...this.#onSourceFailed(reason, nowMs)] : messages;
@@ -485,7 +553,7 @@
       this.#recordWorkingSource();
       return messages;
     }
-    return this.#mayReturnTo(fromHostId, readByHostId, nowMs)
+    return this.#mayUse(fromHostId, readByHostId, nowMs)
       ? [...messages, ...this.#useSource(fromHostId)]
       : messages;
   }
@@ -508,7 +576,11 @@
   }
 
   /** True if a peer that is a working source takes the place of the source in use. */
-  #mayReturnTo(hostId: string, readByHostId: string, nowMs: number): boolean {
+  #mayUse(hostId: string, readByHostId: string, nowMs: number): boolean {
+    // Any working source will do in place of a peer that was not shown to work; a read of the registry is waited for.
+    if (this.#isFailing && !this.#sources.isSelf && this.#sources.has(hostId)) {
+      return true;
+    }
     if (!this.#sources.isPreferred(hostId) || nowMs < this.#preferredSourceRetryAtMs) {
       return false;
     }
@@ -555,8 +627,14 @@
     {asOfMs, from, readByHostId, heldMs, nowMs}: UpdateOrigin,
   ): readonly CoreMessage[] {
     const positionBefore = this.#view.position;
+    const versionBefore = this.#view.document?.version;
+    const outOfServiceBefore = this.#view.outOfService.join(' ');
     const haveServersChanged = this.#view.apply(update, nowMs);
     const hasMovedOn = isAfter(this.#view.position, positionBefore);
+    const isUrgent =
+      this.#view.document?.version !== versionBefore ||
+      this.#view.outOfService.join(' ') !== outOfServiceBefore ||
+      (haveServersChanged && update.changes.some(takesServerOut));
     if (hasMovedOn) {
       this.#positionSinceMs = nowMs;
     }
@@ -575,13 +653,13 @@
       }),
       ...(haveServersChanged ? this.#announcer.announceServers(nowMs) : []),
       ...this.#announcer.announceFreshUntil(this.#confirmedAtMs),
-      ...(hasMovedOn ? this.#notifySubscribers(nowMs) : []),
+      ...(hasMovedOn ? this.#notifyOthers(isUrgent, nowMs) : []),
     ];
   }
 
-  /** Notifies the hosts that sent a query lately of the new revision. */
-  #notifySubscribers(nowMs: number): readonly CoreMessage[] {
+  /** Notifies the hosts that sent a query lately of the new revision, and the neighbours of an urgent one. */
+  #notifyOthers(isUrgent: boolean, nowMs: number): readonly CoreMessage[] {
     const message = {type: 'registryChanged' as const, ...this.#view.position};
-    return this.#subscribers.notify(message, nowMs);
+    return this.#subscribers.notify(message, nowMs, isUrgent ? this.#neighbourIds : []);
   }
 }
--- a/packages/core/src/roster/gossipTargets.ts
+++ b/packages/core/src/roster/gossipTargets.ts
@@ -1,11 +1,7 @@
 import type {HashFunction} from '../hash/hashFunction.ts';
 import type {LiveHost} from '../messages/hostMessages.ts';
 import type {RandomSource} from '../random/randomSource.ts';
-
-/** Hosts of the own data centre with which a host gossips. */
-const localNeighbourCount = 6;
-/** Hosts of other data centres with which a host gossips. */
-const remoteNeighbourCount = 3;
+import {chooseNeighbours} from './chooseNeighbours.ts';
 
 /** Identity of the host and the sources of its choices. */
 export interface GossipTargetsOptions {
@@ -24,9 +20,8 @@
 /**
  * Chooses the peer of each gossip round.
  *
- * A host gossips with a few neighbours, chosen at random by a hash of both ids, so that it needs few
- * connections however large the fleet is. Now and then it tries a host that counts as dead, so that the two
- * sides of a network partition find each other again after it.
+ * A host gossips with its neighbours. Now and then it tries a host that counts as dead, so that the two sides of a
+ * network partition find each other again after it.
  */
 export class GossipTargets {
   readonly #options: GossipTargetsOptions;
@@ -46,17 +41,9 @@
 
   /** Chooses the neighbours among the live hosts. */
   setLiveHosts(live: readonly LiveHost[]): void {
-    const {selfId, dataCentre, hash} = this.#options;
-    const weighted = live
-      .filter(({hostId}) => hostId !== selfId)
-      .map((host) => ({host, weight: hash(`${selfId}>${host.hostId}`)}));
-    weighted.sort((one, other) => other.weight - one.weight);
-    const ids = (isLocal: boolean): string[] =>
-      weighted
-        .filter(({host}) => (host.dataCentre === dataCentre) === isLocal)
-        .map(({host}) => host.hostId);
-    this.#local = ids(true).slice(0, localNeighbourCount);
-    this.#remote = ids(false).slice(0, remoteNeighbourCount);
+    const {localIds, remoteIds} = chooseNeighbours(this.#options, live);
+    this.#local = localIds;
+    this.#remote = remoteIds;
   }
 
   /** The peer of the next round; undefined where no other host is known. */
