--- a/packages/bench/src/__tests__/dividedBackend.test.ts
+++ b/packages/bench/src/__tests__/dividedBackend.test.ts
@@ -6,13 +6,18 @@
   createDividedFleet,
   dataCentres,
   remoteAttemptShare,
+  reportConnections,
   sendDataCentreLoad,
   swingingLoad,
 } from '../gray-failure/dividedFleet.ts';
 import type {DataCentreLoad, DividedFleet} from '../gray-failure/dividedFleet.ts';
 import type {FailureMode} from '../gray-failure/grayFailureServer.ts';
 import type {GrayFailureFleet} from '../gray-failure/grayFailureFleet.ts';
-import {scheduleFailureCycles, summariseOutcomes} from '../gray-failure/grayFailureSetup.ts';
+import {
+  grayFailureRoutes,
+  scheduleFailureCycles,
+  summariseOutcomes,
+} from '../gray-failure/grayFailureSetup.ts';
 import type {OutcomeSummary} from '../gray-failure/grayFailureSetup.ts';
 
 /** Time in which the hosts find each other and the servers, in ms. */
@@ -268,6 +273,71 @@
   });
 });
 
+describe('the floor of a backend whose servers fail all at once', () => {
+  before(async () => {
+    hash = await loadXxHash();
+  });
+
+  /** Length of the windows in which operators evaluate the floor, in ms. */
+  const floorWindowMs = 2_000;
+  /** Time for which the servers all work, so that the homes choose among known ones, in ms. */
+  const calmMs = 6_000;
+  const loadMs = 9_000;
+  /** Least share of the healthy servers that receive requests while many fail. */
+  const floorShare = 0.7;
+
+  /** A fleet under a load of one-time requests, of whose servers nearly half turn silent after a while. */
+  function runWithFailure(seed: number): {
+    fleet: GrayFailureFleet;
+    healthyIds: readonly string[];
+  } {
+    const routes = grayFailureRoutes.map((route) => ({...route, meanMs: 130, logDeviation: 0.8}));
+    const longTail = {share: 0.03, factor: 7};
+    const {fleet} = createDividedFleet(hash, {seed, servers: 90, hosts: 42, routes, longTail});
+    fleet.queue.runUntil(startupMs);
+    reportConnections(fleet);
+    const perSecondAt = swingingLoad(90, 0.55, 17_000);
+    sendDataCentreLoad(fleet, {forMs: loadMs, seed: seed * 7, mix: {payment: 1}, perSecondAt});
+    const servers = [...fleet.servers.values()];
+    const failingServers = servers.filter((_, index) => index % 100 < 40);
+    fleet.after(calmMs, () => {
+      for (const server of failingServers) {
+        server.mode = 'silent';
+      }
+    });
+    fleet.queue.runUntil(startupMs + loadMs + drainMs);
+    const healthyIds = servers.filter(({mode}) => mode === 'healthy').map(({id}) => id);
+    return {fleet, healthyIds};
+  }
+
+  // Guards against homes that concentrate requests while nothing fails, and are unprepared for a sudden failure.
+  it('is kept in the two seconds around the failure', () => {
+    const below: string[] = [];
+    let relevant = 0;
+    for (const seed of [1, 2, 3]) {
+      const {fleet, healthyIds} = runWithFailure(seed);
+      const failsAtMs = startupMs + calmMs;
+      for (let fromMs = failsAtMs - floorWindowMs; fromMs <= failsAtMs; fromMs += 100) {
+        const isInWindow = (atMs: number): boolean =>
+          atMs >= fromMs && atMs < fromMs + floorWindowMs;
+        const sent = fleet.outcomes.filter(({arrivedAtMs}) => isInWindow(arrivedAtMs));
+        const unserved = sent.filter(({status}) => status !== 200).length / sent.length;
+        if (unserved <= 0.1 || unserved >= 0.5) {
+          continue;
+        }
+        relevant += 1;
+        const used = healthyIds.filter((id) => fleet.attemptTimesMs.get(id)?.some(isInWindow));
+        if (used.length < floorShare * healthyIds.length) {
+          const from = `${fromMs - failsAtMs} ms from the failure`;
+          below.push(`seed ${seed}, ${from}: ${used.length} of ${healthyIds.length}`);
+        }
+      }
+    }
+    expect(relevant).to.be.above(10);
+    expect(below).to.deep.equal([]);
+  }).timeout(60_000);
+});
+
 describe('the retry budget of a backend with several homes', () => {
   before(async () => {
     hash = await loadXxHash();
--- a/packages/bench/src/gray-failure/dividedFleet.ts
+++ b/packages/bench/src/gray-failure/dividedFleet.ts
@@ -145,3 +145,31 @@
   }
   return attempts === 0 ? 0 : remote / attempts;
 }
+
+/** Time for which a host keeps an idle connection to a server, in ms. */
+const idleConnectionMs = 4_000;
+/** Interval at which hosts report their idle connections, in ms. */
+const reportIntervalMs = 200;
+
+/** Makes each host report, from now on, the servers to which it has a connection from an earlier attempt. */
+export function reportConnections(fleet: GrayFailureFleet): void {
+  const report = (): void => {
+    const sinceMs = fleet.queue.nowMs - idleConnectionMs;
+    const serverIdsByHost = new Map<string, Set<string>>();
+    for (const [serverId, attemptTimesMs] of fleet.attemptTimesMs) {
+      const hostIds = fleet.attemptHostIds.get(serverId) ?? [];
+      const firstIndex = attemptTimesMs.findIndex((atMs) => atMs > sinceMs);
+      for (const hostId of firstIndex < 0 ? [] : hostIds.slice(firstIndex)) {
+        const serverIds = serverIdsByHost.get(hostId) ?? new Set<string>();
+        serverIds.add(serverId);
+        serverIdsByHost.set(hostId, serverIds);
+      }
+    }
+    for (const host of fleet.hosts.values()) {
+      const idleServerIds = [...(serverIdsByHost.get(host.id) ?? [])];
+      host.deliver({type: 'serverConnections', idleServerIds});
+    }
+    fleet.after(reportIntervalMs, report);
+  };
+  report();
+}
