Responses with a version or a status that no response has are not passed on

The status 000 was stopped by an assertion in the HTTP client, not by a decision.

Cause: the HTTP client checks the form of a status line, and no part of the product decided which versions and statuses are those of a response. isStatusLine in the core decides now, and the sockets to servers apply it before the HTTP client: for attempts, for those relayed for other hosts, and for probes.

Not tried: in a hedged attempt (uploads are never hedged), and on a busy host.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -42,6 +42,7 @@
 export {DEFAULT_LEASE_BOUNDS, listRetirementMs} from './membership/membershipOptions.ts';
 export type {LeaseBounds} from './membership/membershipOptions.ts';
 export type {ServerCandidate, LoadBalancingPolicy} from './routing/loadBalancingPolicy.ts';
+export {isStatusLine} from './responses/statusLine.ts';
 export {DEFAULT_REGISTRY_OPTIONS} from './registry/registryTask.ts';
 export {isAfter} from './registry/registryPosition.ts';
 export type {RegistryPosition} from './registry/registryPosition.ts';
--- a/packages/proxy/src/backends/responseHeadLimiter.ts
+++ b/packages/proxy/src/backends/responseHeadLimiter.ts
@@ -1,3 +1,5 @@
+import {isStatusLine} from '@godwitspring/core';
+
 /** Limits on the heads and trailers of one response. */
 export interface ResponseHeadLimiterOptions {
   /** Lines of all its heads, interim ones included, and of its trailers. Default: 500, as for the heads of callers. */
@@ -14,6 +16,9 @@
   maxLineBytes: 17_408,
 };
 
+/** What is wrong with a response: a head, a line or trailers that are too long, or a status line that is none. */
+export type ResponseHeadFault = 'too-long' | 'status-line';
+
 /** Part of a response to which the next bytes belong; `unlimited` is a body that is not in chunks, and all after the end. */
 type ResponsePart = 'status-line' | 'fields' | 'chunk-size' | 'trailers' | 'unlimited';
 
@@ -23,11 +28,12 @@
 const lineEndBytes = 2;
 
 /**
- * Follows the heads, the chunk sizes and the trailers of a response as its bytes arrive, and finds those that are too long.
+ * Follows the heads, the chunk sizes and the trailers of a response as its bytes arrive, and finds those that are too long,
+ * and status lines with a version or a status that no response has.
  *
  * Addresses servers that send very many short fields: an HTTP client that limits the bytes of a head keeps some hundred
- * bytes of memory for each field of a few bytes. It finds no other fault: bytes that are no response pass, as the HTTP
- * client refuses them.
+ * bytes of memory for each field of a few bytes; it also accepts statuses such as 999. It finds no other fault: bytes
+ * that do not start like a response pass, as the HTTP client refuses them.
  */
 export class ResponseHeadLimiter {
   readonly #options: ResponseHeadLimiterOptions;
@@ -40,11 +46,17 @@
   #lineBytes = 0;
   /** Bytes of the present chunk that are still to come, with the end of its line. */
   #chunkBytes = 0;
+  #fault: ResponseHeadFault = 'too-long';
 
   constructor(options: Partial<ResponseHeadLimiterOptions> = {}) {
     this.#options = {...DEFAULT_RESPONSE_HEAD_LIMITER_OPTIONS, ...options};
   }
 
+  /** Why bytes were not accepted. */
+  get fault(): ResponseHeadFault {
+    return this.#fault;
+  }
+
   /** The next bytes are those of a new response. */
   startResponse(): void {
     this.#part = 'status-line';
@@ -54,7 +66,7 @@
     this.#chunkBytes = 0;
   }
 
-  /** Reads the next bytes of the response; false once they exceed a limit. */
+  /** Reads the next bytes of the response; false once they have a fault. */
   accepts(bytes: Uint8Array): boolean {
     let at = 0;
     while (at < bytes.length && this.#part !== 'unlimited') {
@@ -96,6 +108,10 @@
       this.#part = this.#partAfterFields();
       return true;
     }
+    if (this.#part === 'status-line' && line.startsWith('HTTP/') && !isStatusLine(line)) {
+      this.#fault = 'status-line';
+      return false;
+    }
     this.#readHeadLine(line);
     this.#lines += 1;
     return this.#lines <= this.#options.maxLines;
--- a/packages/proxy/src/backends/serverSocket.ts
+++ b/packages/proxy/src/backends/serverSocket.ts
@@ -1,5 +1,5 @@
 import type {SocketConstructorOpts, TcpSocketConnectOpts} from 'node:net';
-import {ResponseHeadError} from '../errors/hostErrors.ts';
+import {ResponseHeadError, StatusLineError} from '../errors/hostErrors.ts';
 import {ResponseHeadLimiter} from './responseHeadLimiter.ts';
 import {ThrottledSocket} from './throttledSocket.ts';
 
@@ -12,8 +12,8 @@
 const readBuffer = Buffer.allocUnsafeSlow(16_384);
 
 /**
- * A connection to a server that breaks where the heads or trailers of a response are too long, before the HTTP client
- * parses them.
+ * A connection to a server that breaks where the heads or trailers of a response are too long or its status line is
+ * none, before the HTTP client parses them.
  */
 export class ServerSocket extends ThrottledSocket {
   readonly #limiter = new ResponseHeadLimiter();
@@ -37,7 +37,11 @@
   /** Takes bytes that arrived, each once; false where no more are wanted for now. */
   override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
     if (chunk !== null && !this.#limiter.accepts(chunk)) {
-      this.destroy(new ResponseHeadError('the head or the trailers are too long'));
+      this.destroy(
+        this.#limiter.fault === 'status-line'
+          ? new StatusLineError('the version or the status is none of a response')
+          : new ResponseHeadError('the head or the trailers are too long'),
+      );
       return false;
     }
     return super.push(chunk, encoding);
--- a/packages/proxy/src/errors/hostErrors.ts
+++ b/packages/proxy/src/errors/hostErrors.ts
@@ -46,6 +46,14 @@
   props: {code: 'HPE_HEADER_OVERFLOW'},
 });
 
+/**
+ * A backend server sent a status line with a version or a status that no response has. Its code is that of an HTTP
+ * parser for the same fault, so that the attempt counts as malformed.
+ */
+export const StatusLineError = HostError.subclass('StatusLineError', {
+  props: {code: 'HPE_INVALID_STATUS'},
+});
+
 /** A connection to a backend server was not established in time. */
 export const ConnectTimeoutError = HostError.subclass('ConnectTimeoutError');
 
