A relay whose reader is silent does not take the data of another relay

Only a source that is preferred to a read of the registry takes its place now, so that a relay reads the registry once both readers are silent.

--- a/packages/core/src/registry/noticedChanges.ts
+++ b/packages/core/src/registry/noticedChanges.ts
@@ -9,8 +9,11 @@
   queryFromMs: number;
 }
 
-/** Longest wait for a reply before a host is queried again, or another one as well, in ms: some thirty round trips. */
-export const fetchTimeoutMs = 100;
+/**
+ * Longest wait for a reply before a host is queried again, or another one as well, in ms: some hundred round trips, as a
+ * large document takes time to send and every query for it costs as much again.
+ */
+export const fetchTimeoutMs = 300;
 
 /**
  * Changes of the registry that other hosts announced and this host does not have yet.
@@ -41,9 +44,12 @@
     }
   }
 
-  /** Forgets what a host announced that does not reply. */
-  forget(hostId: string): void {
-    this.#notices.delete(hostId);
+  /** Forgets what a host had announced before a query to which it does not reply. */
+  recordSilence(hostId: string, queriedAtMs: number): void {
+    const notice = this.#notices.get(hostId);
+    if (notice !== undefined && notice.noticedAtMs <= queriedAtMs) {
+      this.#notices.delete(hostId);
+    }
   }
 
   /** The host to query now; undefined while a query is under way, or if no host announced more than is held. */
--- a/packages/core/src/registry/pendingQueries.ts
+++ b/packages/core/src/registry/pendingQueries.ts
@@ -1,6 +1,13 @@
+/** A query that was sent to another host. */
+export interface PendingQuery {
+  readonly hostId: string;
+  /** When it was sent, on the own clock, in ms. */
+  readonly queriedAtMs: number;
+}
+
 /** Queries for registry data that were sent to other hosts and have no reply yet. */
 export class PendingQueries {
-  readonly #queries = new Map<number, {readonly hostId: string; readonly queriedAtMs: number}>();
+  readonly #queries = new Map<number, PendingQuery>();
   #nextNonce: number;
 
   constructor(firstNonce: number) {
@@ -26,15 +33,15 @@
     return query?.queriedAtMs;
   }
 
-  /** Ends the queries that were sent at or before a moment; returns the hosts that did not reply. */
-  endUnanswered(sentUntilMs: number): string[] {
-    const hostIds: string[] = [];
-    for (const [nonce, {hostId, queriedAtMs}] of this.#queries) {
-      if (queriedAtMs <= sentUntilMs) {
+  /** Ends the queries that were sent at or before a moment, and returns them. */
+  endUnanswered(sentUntilMs: number): PendingQuery[] {
+    const unanswered: PendingQuery[] = [];
+    for (const [nonce, query] of this.#queries) {
+      if (query.queriedAtMs <= sentUntilMs) {
         this.#queries.delete(nonce);
-        hostIds.push(hostId);
+        unanswered.push(query);
       }
     }
-    return hostIds;
+    return unanswered;
   }
 }
--- a/packages/core/src/registry/registrySources.ts
+++ b/packages/core/src/registry/registrySources.ts
@@ -94,11 +94,6 @@
     return nowMs < (this.#silentUntilMs.get(hostId) ?? nowMs);
   }
 
-  /** True if a host is among the sources. */
-  has(hostId: string): boolean {
-    return this.#sourceIds.includes(hostId);
-  }
-
   /** True if a host is preferred to the source in use. */
   isPreferred(hostId: string): boolean {
     const index = this.#sourceIds.indexOf(hostId);
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -311,19 +311,19 @@
    * as both may have failed together.
    */
   #checkUnanswered(nowMs: number): readonly CoreMessage[] {
-    const unansweredHostIds = this.#queries.endUnanswered(nowMs - this.#options.replyTimeoutMs);
-    if (unansweredHostIds.length === 0) {
+    const unanswered = this.#queries.endUnanswered(nowMs - this.#options.replyTimeoutMs);
+    if (unanswered.length === 0) {
       return [];
     }
     const {current, isSelf} = this.#sources;
     const messages: CoreMessage[] = [];
-    for (const hostId of unansweredHostIds) {
+    for (const {hostId, queriedAtMs} of unanswered) {
       this.#sources.recordSilence(hostId, nowMs);
-      this.#noticedChanges.forget(hostId);
+      this.#noticedChanges.recordSilence(hostId, queriedAtMs);
       const fields = {hostId, isSource: hostId === current};
       messages.push({type: 'log', level: 'info', event: 'registry.unanswered', fields});
     }
-    if (unansweredHostIds.includes(current)) {
+    if (unanswered.some(({hostId}) => hostId === current)) {
       return [...messages, ...this.#onSourceFailed('no answer', nowMs), ...this.#queryAll(nowMs)];
     }
     return isSelf ? messages : [...messages, ...this.#sendQuery(current, nowMs)];
@@ -577,8 +577,9 @@
 
   /** True if a peer that is a working source takes the place of the source in use. */
   #mayUse(hostId: string, readByHostId: string, nowMs: number): boolean {
-    // Any working source will do in place of a peer that was not shown to work; a read of the registry is waited for.
-    if (this.#isFailing && !this.#sources.isSelf && this.#sources.has(hostId)) {
+    // In place of a peer that was not shown to work, any working source will do. A relay would rather read the registry
+    // than take the data of another relay, which may have lost the same reader.
+    if (this.#isFailing && !this.#sources.isSelf && this.#sources.isPreferredToRegistry(hostId)) {
       return true;
     }
     if (!this.#sources.isPreferred(hostId) || nowMs < this.#preferredSourceRetryAtMs) {
