Risks are calibrated by what happens; exploration beside a few retryable requests

Cause: each failure is evidence against its server, by the rate of failures of a healthy one; where all servers share a cause, all look unusable soon, and nothing compares that with the outcomes. RiskCalibration lowers the log-odds of all servers until the best one fails no more often than the backend as a whole did; servers that a host avoids are used where it avoids all.

ExplorationPolicy was off while any retryable request came by, as the operators' probes do; it is now off from a tenth of the requests on.

--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -16,6 +16,7 @@
 import {minServers} from './homeScope.ts';
 import {NewServerPolicy} from './newServerPolicy.ts';
 import {NewServers} from './newServers.ts';
+import {RiskCalibration} from './riskCalibration.ts';
 import {RiskSurvey} from './riskSurvey.ts';
 import {RecentOutcomes} from './recentOutcomes.ts';
 import type {
@@ -128,6 +129,7 @@
   readonly #newServers = new NewServers();
   readonly #speeds = new ServerSpeeds();
   readonly #survey: RiskSurvey;
+  readonly #calibration: RiskCalibration;
   readonly #forwarder: RequestForwarder;
   readonly #unservedShare: RecentFigure<number>;
   #examinedCandidates = 0;
@@ -146,6 +148,13 @@
       shareAbove: this.#durations.shareAbove,
       limitPerSecond: (serverId) => this.#availability.limitPerSecond(serverId),
     });
+    this.#calibration = new RiskCalibration({
+      bestLogOdds: (nowMs) => this.#bestLogOdds(nowMs),
+      outcomes: (nowMs) => ({
+        ended: this.#recentOutcomes.ended(nowMs),
+        failedShare: this.#recentOutcomes.failed,
+      }),
+    });
     this.#unservedShare = new RecentFigure(overdueValidityMs, (nowMs) =>
       this.#recentOutcomes.unservedShare(
         this.#countOverdue(nowMs),
@@ -614,6 +623,9 @@
     if (outcome !== 'ok' || !this.#durations.isTrivial(ranForMs)) {
       this.#riskOf(serverId).recordOutcome(attempt, outcome, nowMs, this.#durations.shareAbove);
     }
+    if (outcome !== 'ok') {
+      this.#calibration.recordFailure();
+    }
   }
 
   /** True where nearly all responses on the route take less time than this attempt has run. */
@@ -732,7 +744,8 @@
   }
 
   /**
-   * Servers with a free slot that may run the attempt. Servers whose registry entry lapsed are used only where no other may.
+   * Servers with a free slot that may run the attempt. Servers whose registry entry lapsed are used only where no other may,
+   * and those that the host avoids where it avoids all.
    */
   #candidates(
     query: PlaceAsk,
@@ -743,13 +756,12 @@
     const avoidedIds = new Set(query.avoidedIds);
     this.#examinedCandidates += this.#index.freeCount;
     const usableCandidates: PlacementCandidate[] = [];
+    const avoidedCandidates: PlacementCandidate[] = [];
     const lapsedCandidates: PlacementCandidate[] = [];
     for (const {server, serverRisk} of this.#index.freeServers) {
       const serverId = server.id;
       const isExcluded =
-        avoidedIds.has(serverId) ||
-        serverRisk.isAvoidedBy(hostId, nowMs) ||
-        !this.#availability.mayStart(server, serverRisk, nowMs);
+        avoidedIds.has(serverId) || !this.#availability.mayStart(server, serverRisk, nowMs);
       if (isExcluded) {
         continue;
       }
@@ -764,9 +776,30 @@
         nowMs,
         readSpeedFactor: () => this.#speedFactor(serverId, server.slots, nowMs),
       });
-      (this.#lapsedIds.has(serverId) ? lapsedCandidates : usableCandidates).push(candidate);
+      if (serverRisk.isAvoidedBy(hostId, nowMs)) {
+        avoidedCandidates.push(candidate);
+      } else {
+        (this.#lapsedIds.has(serverId) ? lapsedCandidates : usableCandidates).push(candidate);
+      }
+    }
+    if (usableCandidates.length > 0) {
+      return usableCandidates;
+    }
+    return lapsedCandidates.length > 0 || !this.#avoidsAll(hostId, nowMs)
+      ? lapsedCandidates
+      : avoidedCandidates;
+  }
+
+  /**
+   * True where a host avoids every server in service: then its paths are not what fails, or none is left to prefer.
+   */
+  #avoidsAll(hostId: string, nowMs: number): boolean {
+    for (const {serverRisk} of this.#index.servers) {
+      if (!serverRisk.isAvoidedBy(hostId, nowMs)) {
+        return false;
+      }
     }
-    return usableCandidates.length > 0 ? usableCandidates : lapsedCandidates;
+    return true;
   }
 
   #context({bodyBytes, isRepeatable, routeId, leftMs}: PlaceAsk, nowMs: number): PlacementContext {
@@ -786,10 +819,19 @@
     };
   }
 
+  /** Lowest estimate of any server in service, as log-odds, before it is corrected. */
+  #bestLogOdds(nowMs: number): number {
+    let best = Number.POSITIVE_INFINITY;
+    for (const {serverRisk} of this.#index.servers) {
+      best = Math.min(best, serverRisk.logOdds(nowMs, this.#durations.shareAbove));
+    }
+    return best;
+  }
+
   #riskOf(serverId: string): ServerRisk {
     let serverRisk = this.#risks.get(serverId);
     if (serverRisk === undefined) {
-      serverRisk = new ServerRisk();
+      serverRisk = new ServerRisk((nowMs) => this.#calibration.correction(nowMs));
       this.#risks.set(serverId, serverRisk);
     }
     return serverRisk;
--- a/packages/core/src/placement/explorationPolicy.ts
+++ b/packages/core/src/placement/explorationPolicy.ts
@@ -13,8 +13,10 @@
 const maxDue = 2;
 /** Risk up to which a server is explored, 0 to 1: little is known of it, and nothing speaks against it. */
 const maxRisk = 0.35;
-/** Time for which retryable requests are left to explore after the last one, in ms. */
-const leftToRetryableMs = 2_000;
+/** Share of the requests that are retryable from which on trial requests explore, 0 to 1. */
+const trialShare = 0.1;
+/** Weight of one request in that share. */
+const requestWeight = 0.02;
 /** Time without a start after which a server is explored, in ms. */
 const unusedForMs = 1_600;
 
@@ -32,15 +34,13 @@
   #failed = assumedFailedShare * assumedAttempts;
   #ended = assumedAttempts;
   #atMs = 0;
-  #lastRetryableAtMs = Number.NEGATIVE_INFINITY;
+  #retryableShare = 0;
 
   /** Counts the first attempt of a request; a part of one exploration becomes due unless trial requests can explore. */
   recordRequest({isRepeatable}: {readonly isRepeatable: boolean}, nowMs: number): void {
     this.#decay(nowMs);
-    if (isRepeatable) {
-      this.#lastRetryableAtMs = nowMs;
-    }
-    if (nowMs - this.#lastRetryableAtMs < leftToRetryableMs) {
+    this.#retryableShare += requestWeight * ((isRepeatable ? 1 : 0) - this.#retryableShare);
+    if (this.#retryableShare >= trialShare) {
       this.#due = 0;
       return;
     }
--- a/packages/core/src/placement/recentOutcomes.ts
+++ b/packages/core/src/placement/recentOutcomes.ts
@@ -71,6 +71,12 @@
     return this.#ended < 1 ? 0 : this.#failed / this.#ended;
   }
 
+  /** Number of the attempts that ended recently, with their weights. */
+  ended(nowMs: number): number {
+    this.#decay(nowMs);
+    return this.#ended;
+  }
+
   #decay(nowMs: number): void {
     const retained = Math.exp(-(nowMs - this.#atMs) / decayMs);
     this.#failed *= retained;
--- a/packages/core/src/placement/serverRisk.ts
+++ b/packages/core/src/placement/serverRisk.ts
@@ -86,6 +86,7 @@
  * run unusually long.
  */
 export class ServerRisk {
+  readonly #correction: (nowMs: number) => number;
   /** Attempts running on the server, by `hostId/askId`. */
   readonly #running = new Map<string, RunningAttempt>();
   #risk = 0;
@@ -105,6 +106,11 @@
   /** When each host last failed to reach the server, in ms. */
   readonly #unreachableAtMs = new Map<string, number>();
 
+  /** `correction` gives the log-odds by which the estimates of all servers of the backend are too high. Default: none. */
+  constructor(correction: (nowMs: number) => number = () => 0) {
+    this.#correction = correction;
+  }
+
   /** Number of attempts running on the server. */
   get runningCount(): number {
     return this.#running.size;
@@ -232,13 +238,15 @@
   /** Estimated probability that an attempt that starts now fails, 0 to 1; at most 10 ms old. */
   risk(nowMs: number, shareAbove: ShareAbove): number {
     if (nowMs - this.#riskAtMs >= riskValidityMs) {
-      this.#risk = this.#estimateRisk(nowMs, shareAbove);
+      const logOdds = this.logOdds(nowMs, shareAbove) - this.#correction(nowMs);
+      this.#risk = 1 / (1 + Math.exp(-logOdds));
       this.#riskAtMs = nowMs;
     }
     return this.#risk;
   }
 
-  #estimateRisk(nowMs: number, shareAbove: ShareAbove): number {
+  /** Estimated log-odds that an attempt that starts now fails, before the correction. */
+  logOdds(nowMs: number, shareAbove: ShareAbove): number {
     const sinceSuccessMs = nowMs - this.#lastSuccessStartMs;
     const prior =
       recentSuccessRisk +
@@ -248,7 +256,7 @@
     for (const attempt of this.#running.values()) {
       logOdds += this.#ageSuspicion(attempt, nowMs - attempt.startedAtMs, shareAbove);
     }
-    return 1 / (1 + Math.exp(-logOdds));
+    return logOdds;
   }
 
   #recordSuccess(startedAtMs: number, nowMs: number): void {
