Registry: the test for a leaving server has a file; no correction of risks without servers

Reading of the diff: takesServerOut moves out of registryTask.ts. No other change of behaviour; the core's tests pass.

--- a/packages/core/src/placement/riskCalibration.ts
+++ b/packages/core/src/placement/riskCalibration.ts
@@ -11,7 +11,7 @@
 
 /** What a calibration compares. */
 export interface RiskCalibrationOptions {
-  /** Lowest estimate of any server in service, as log-odds, before the correction. */
+  /** Lowest estimate of any server in service, as log-odds, before the correction; positive infinity for none. */
   readonly bestLogOdds: (nowMs: number) => number;
   /** Share of the recent attempts that failed, 0 to 1, and the number of those that ended, with their weights. */
   readonly outcomes: (nowMs: number) => {readonly failedShare: number; readonly ended: number};
@@ -36,7 +36,11 @@
     this.#correction = new RecentFigure(validityMs, (nowMs) => {
       const best = bestLogOdds(nowMs);
       const {failedShare, ended} = outcomes(nowMs);
-      if (ended < minEnded || best <= logit(checkedAboveRisk)) {
+      if (
+        ended < minEnded ||
+        best <= logit(checkedAboveRisk) ||
+        best === Number.POSITIVE_INFINITY
+      ) {
         return 0;
       }
       const allowed = logit(Math.min(1 - minFailedShare, Math.max(minFailedShare, failedShare)));
--- a/packages/core/src/registry/registryTask.ts
+++ b/packages/core/src/registry/registryTask.ts
@@ -1,4 +1,4 @@
-import type {HedgingSettings, RegistryChange} from '@godwitspring/document';
+import type {HedgingSettings} from '@godwitspring/document';
 import type {FleetBounds} from '../fleet/fleetBounds.ts';
 import type {CoreTask} from '../host/coreTask.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
@@ -16,6 +16,7 @@
 import {RegistryView} from './registryView.ts';
 import type {RegistryUpdate} from './registryView.ts';
 import {StartGate} from './startGate.ts';
+import {takesServerOut} from './takesServerOut.ts';
 
 /** Identity of the host, the bounds of the fleet and the timing of registry queries. */
 export interface RegistryTaskOptions {
@@ -89,13 +90,6 @@
   'selfId' | 'dataCentre' | 'hash' | 'bounds' | 'random'
 >;
 
-/** True for a change after which a server gets no more requests. */
-function takesServerOut(change: RegistryChange): boolean {
-  return (
-    change.kind === 'serverGone' || (change.kind === 'server' && change.server.state === 'draining')
-  );
-}
-
 const timerId = 'registry.tick';
 /** Pause before a peer that has no registry data yet is queried again, in ms. */
 const emptyPeerRetryMs = 40;
