A retry that waited is checked against the budget again when it starts

Cause: a home checked the budget when a retry arrived; several that wait in its queue each found the same room. It is checked when a retry starts as well, and one that finds no room is refused as not run.

--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -283,15 +283,10 @@
     if (hedge !== 'allowed') {
       return this.#withholdHedge(query, hedge);
     }
-    if (query.isRepeat) {
-      if (!isForwarded && !this.#retries.hasRoom(nowMs)) {
-        return {
-          state: 'refused',
-          kind: 'overloaded',
-          retryAfterMs: this.#durations.medianMs(query.routeId),
-        };
-      }
-    } else if (!isForwarded) {
+    if (this.#exceedsRetryBudget(query, nowMs)) {
+      return this.#refuseRetry(query);
+    }
+    if (!query.isRepeat && !isForwarded) {
       this.#retries.recordRequest(nowMs);
       this.#explorationPolicy.recordRequest(query, nowMs);
     }
@@ -318,6 +313,19 @@
     return this.#forwarder.forwardWaiting(nowMs);
   }
 
+  /** True for a retry, other than one that another home allowed, for which the budget has no room. */
+  #exceedsRetryBudget({isRepeat, isForwarded}: PlaceAsk, nowMs: number): boolean {
+    return isRepeat && isForwarded !== true && !this.#retries.hasRoom(nowMs);
+  }
+
+  #refuseRetry({routeId}: PlaceAsk): Extract<PlacementDecision, {state: 'refused'}> {
+    return {
+      state: 'refused',
+      kind: 'overloaded',
+      retryAfterMs: this.#durations.medianMs(routeId),
+    };
+  }
+
   /** What this home reports to the other homes of its backend; the count of served customers starts anew. */
   takeSummary(nowMs: number): HomeSummary {
     const oldestWaitMs = nowMs - (this.admission.queue.oldestArrivedAtMs ?? nowMs);
@@ -400,6 +408,18 @@
       if (!this.#mayFindServer(query, arrivedAtMs, summary, nowMs)) {
         continue;
       }
+      if (this.#exceedsRetryBudget(query, nowMs)) {
+        // Others that waited, too, have used what was left of the budget.
+        this.admission.remove(key, nowMs);
+        decisions.push({
+          key,
+          entryHost,
+          query,
+          waitedMs: nowMs - arrivedAtMs,
+          decision: this.#refuseRetry(query),
+        });
+        continue;
+      }
       const decision = this.#tryPlace(key, query, entryHost, arrivedAtMs, nowMs);
       if (decision === undefined) {
         failedInRow += 1;
