--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -189,17 +189,17 @@
   runs = [];
 
   /**
-   * @param {{id: string, service: string, ip: string, zone: string,
+   * @param {{id: string, service: string, ip: string, zone: string, slots: number,
    *   onRequest: (request: IncomingMessage, response: ServerResponse, instance: InstanceStandIn) => void}} options
    */
-  constructor({id, service, ip, zone, onRequest}) {
+  constructor({id, service, ip, zone, slots, onRequest}) {
     this.id = id;
     this.entry = {
       service,
       address: `${ip}:${instancePort}`,
       zone,
       version: 'v1',
-      capacity: 8,
+      capacity: slots,
       state: 'ready',
       warmupLeft: '0ms',
       sequence: 1,
@@ -342,7 +342,7 @@
   #subnet = '';
 
   /**
-   * @param {{hosts: number, services: Record<string, number>, configuration: object,
+   * @param {{hosts: number, services: Record<string, number>, configuration: object, slotsPerInstance?: number,
    *   onRequest: (request: IncomingMessage, response: ServerResponse, instance: InstanceStandIn) => void}} options
    */
   constructor(options) {
@@ -351,14 +351,21 @@
 
   /** Starts the store, the instances and the hosts, and waits until each host is ready. */
   async start() {
-    const {hosts, services, configuration, onRequest} = this.options;
+    const {hosts, services, configuration, slotsPerInstance = 8, onRequest} = this.options;
     await this.#startStore();
     this.store.put('op/config', configuration);
     for (const [service, count] of Object.entries(services)) {
       for (let number = 1; number <= count; number += 1) {
         const ip = `${this.#subnet}.2.${this.instances.length + 1}`;
         const id = `i-${randomBytes(4).toString('hex')}`;
-        const instance = new InstanceStandIn({id, service, ip, zone: 'zona-a', onRequest});
+        const instance = new InstanceStandIn({
+          id,
+          service,
+          ip,
+          zone: 'zona-a',
+          slots: slotsPerInstance,
+          onRequest,
+        });
         this.instances.push(instance);
         await instance.start();
         this.store.put(`servers/${id}`, instance.entry);
