--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -231,6 +231,9 @@
       onRequest(request, response, this);
     });
     this.server.maxHeadersCount = 0;
+    this.server.on('connection', (socket) => {
+      socket.on('error', () => undefined);
+    });
   }
 
   async start() {
