Log what is left of the retry budget, and which attempts are charged to it

Change: the decision on a retry states retriesLeft and homeForMs, attempt.started states isRetry, and place.retry counts the decisions by backend. No decision changes.

--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -261,6 +261,11 @@
     return this.#examinedCandidates;
   }
 
+  /** Retries that this home may still grant, for logs. */
+  retriesLeft(nowMs: number): number {
+    return this.#retries.left(nowMs);
+  }
+
   /** Share of the recent attempts that failed, 0 to 1. */
   get failedShare(): number {
     return this.#recentOutcomes.failed;
--- a/packages/core/src/placement/placementHomeTask.ts
+++ b/packages/core/src/placement/placementHomeTask.ts
@@ -60,6 +60,7 @@
   readonly siblings: SiblingSummaries | undefined;
   /** Numbers of its servers in the newest lists, oldest first. */
   readonly serverNumbers: ServerNumbers[];
+  readonly createdAtMs: number;
   lastQueryAtMs: number;
 }
 
@@ -367,17 +368,23 @@
       reply.retryAfterMs = Math.ceil(placement.retryAfterMs);
     }
     this.#sentReplies.set(key, {reply, atMs: nowMs});
-    const {home} = this.#home(backendId, scope, nowMs);
+    const {home, createdAtMs} = this.#home(backendId, scope, nowMs);
     fields.waiting = home.admission.queue.size;
     fields.servers = home.serverCount;
+    if (isRepeat) {
+      fields.retriesLeft = Math.round(home.retriesLeft(nowMs) * 10) / 10;
+      fields.homeForMs = Math.round(nowMs - createdAtMs);
+    }
     const messages: CoreMessage[] = [
       {type: 'sendToPeer', toHostId: hostId, message: reply},
       countAdmission(priority, placement, waitedMs),
       {type: 'log', level: 'info', event: `place.${placement.state}`, fields},
     ];
+    const decision = query.isForwarded === true ? `forwarded-${placement.state}` : placement.state;
+    if (isRepeat && placement.state !== 'waiting') {
+      messages.push({type: 'count', name: 'place.retry', tags: {backend: backendId, decision}});
+    }
     if (scope !== undefined) {
-      const decision =
-        query.isForwarded === true ? `forwarded-${placement.state}` : placement.state;
       const tags = {backend: backendId, dataCentre: scope, decision};
       messages.push({type: 'count', name: 'place.scope', tags});
     }
@@ -662,6 +669,7 @@
         home,
         siblings,
         serverNumbers: [],
+        createdAtMs: nowMs,
         lastQueryAtMs: Number.NEGATIVE_INFINITY,
       };
       if (this.#servers !== undefined) {
--- a/packages/core/src/placement/retryWindow.ts
+++ b/packages/core/src/placement/retryWindow.ts
@@ -54,6 +54,12 @@
     return retries / budget;
   }
 
+  /** Retries that the budget still holds; negative where it was exceeded. */
+  left(nowMs: number): number {
+    const {retries, budget} = this.#totals(nowMs);
+    return budget - retries;
+  }
+
   /** True where the budget holds one more retry. */
   hasRoom(nowMs: number): boolean {
     const {retries, budget} = this.#totals(nowMs);
--- a/packages/core/src/request/requestReport.ts
+++ b/packages/core/src/request/requestReport.ts
@@ -86,6 +86,7 @@
     leftMs: Math.round(timeoutMs),
     beside: request.running.size - 1,
     isHedge,
+    isRetry: request.isNextAttemptRetry,
   };
   return [
     ...(isHedge ? [countForRoute('hedge.sent', request)] : []),
