The retry budget of a backend is kept whichever home counts

Cause: the count of a sliding window belonged to one home. A home that replaced another, or that a cut created, started with an empty window and half of the slack, although the fleet had used the budget of that window already. Class: a limit whose state ends with the process that counts it, and whose loss reads as 'nothing was used'. Change: a token bucket in place of the window. It starts empty, holds a quarter of the slack at most, and its part of the slack follows the share of the hosts that use the home, so that no count has to outlive its home.

--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -30,7 +30,7 @@
 import {RecentFigure} from './recentFigure.ts';
 import {RequestForwarder} from './requestForwarder.ts';
 import {RefreshPolicy} from './refreshPolicy.ts';
-import {RetryWindow} from './retryWindow.ts';
+import {RetryTokenBucket} from './retryTokenBucket.ts';
 import {expectedFailure} from './expectedFailure.ts';
 import {ExplorationPolicy} from './explorationPolicy.ts';
 import {isNoServerUsable, isRiskAccepted} from './riskAcceptance.ts';
@@ -115,7 +115,7 @@
   readonly #durations = new RouteDurations();
   readonly #hedging: BackendHedging;
   readonly #recentOutcomes = new RecentOutcomes();
-  readonly #retries: RetryWindow;
+  readonly #retries: RetryTokenBucket;
   readonly #suspectPaths = new SuspectPaths();
   readonly #availability: ServerAvailability;
   readonly admission = new QueueAdmission();
@@ -161,7 +161,7 @@
         options.siblings?.outcomes(nowMs),
       ),
     );
-    this.#retries = new RetryWindow({
+    this.#retries = new RetryTokenBucket({
       ratio: retryRatio,
       windowMs: retryWindowMs,
       slack: retrySlack,
@@ -186,9 +186,9 @@
     this.#availability.setFleetShare(share);
   }
 
-  /** Sets the number of homes of the backend, among which the slack of the retry budget is divided. */
-  setHomeCount(homes: number): void {
-    this.#retries.setHomeCount(homes);
+  /** Sets the number of hosts in the fleet, among which the slack of the retry budget is divided. */
+  setKnownHosts(count: number): void {
+    this.#retries.setKnownHosts(count);
   }
 
   /** Applies a new version of the configuration document. */
@@ -262,8 +262,8 @@
   }
 
   /** Retries that this home may still grant, for logs. */
-  retriesLeft(nowMs: number): number {
-    return this.#retries.left(nowMs);
+  get retriesLeft(): number {
+    return this.#retries.left;
   }
 
   /** Share of the recent attempts that failed, 0 to 1. */
@@ -288,11 +288,11 @@
     if (hedge !== 'allowed') {
       return this.#withholdHedge(query, hedge);
     }
-    if (this.#exceedsRetryBudget(query, nowMs)) {
+    if (this.#exceedsRetryBudget(query)) {
       return this.#refuseRetry(query);
     }
     if (!query.isRepeat && !isForwarded) {
-      this.#retries.recordRequest(nowMs);
+      this.#retries.recordRequest(entryHost.hostId, nowMs);
       this.#explorationPolicy.recordRequest(query, nowMs);
     }
     if (this.#index.size === 0) {
@@ -319,8 +319,8 @@
   }
 
   /** True for a retry, other than one that another home allowed, for which the budget has no room. */
-  #exceedsRetryBudget({isRepeat, isForwarded}: PlaceAsk, nowMs: number): boolean {
-    return isRepeat && isForwarded !== true && !this.#retries.hasRoom(nowMs);
+  #exceedsRetryBudget({isRepeat, isForwarded}: PlaceAsk): boolean {
+    return isRepeat && isForwarded !== true && !this.#retries.hasRoom;
   }
 
   #refuseRetry({routeId}: PlaceAsk): Extract<PlacementDecision, {state: 'refused'}> {
@@ -368,7 +368,7 @@
       return 'allowed';
     }
     const load = {
-      retryUsedShare: this.#retries.usedShare(nowMs),
+      retryUsedShare: this.#retries.usedShare(),
       waiting: this.admission.queue.size,
       countSlots: () =>
         countSlots(this.#index.servers, ({server, serverRisk}) => ({
@@ -413,7 +413,7 @@
       if (!this.#mayFindServer(query, arrivedAtMs, summary, nowMs)) {
         continue;
       }
-      if (this.#exceedsRetryBudget(query, nowMs)) {
+      if (this.#exceedsRetryBudget(query)) {
         // Others that waited, too, have used what was left of the budget.
         this.admission.remove(key, nowMs);
         decisions.push({
@@ -735,7 +735,7 @@
       this.#servedByCustomer.set(customerId, (this.#servedByCustomer.get(customerId) ?? 0) + 1);
     }
     if (query.isRepeat && query.isForwarded !== true) {
-      this.#retries.recordRetry(nowMs);
+      this.#retries.recordRetry();
     }
     return {
       state: 'granted',
@@ -840,7 +840,7 @@
       usedHealthyShare: () => this.#survey.usedHealthyShare(nowMs),
       serverCount: this.#index.size,
       failedShare: this.#recentOutcomes.failed,
-      hasSpareRetries: this.#retries.usedShare(nowMs) < maxRetryUseForTrials,
+      hasSpareRetries: this.#retries.usedShare() < maxRetryUseForTrials,
     };
   }
 
--- a/packages/core/src/placement/placementHomeTask.ts
+++ b/packages/core/src/placement/placementHomeTask.ts
@@ -129,6 +129,7 @@
   #document: FleetDocument | undefined;
   #servers: RegisteredServersChanged | undefined;
   #fleetShare = 1;
+  #knownHosts = 1;
   #isTimerSet = false;
   #isSummaryTimerSet = false;
   #nextLostCheckAtMs = 0;
@@ -207,9 +208,6 @@
       serverNumbers.splice(0, serverNumbers.length - maxServerLists);
     }
     siblings?.retain(scopes);
-    if (scope !== undefined && scopes.length > 0) {
-      home.setHomeCount(scopes.length);
-    }
   }
 
   /** Numbers the servers in service of a backend among those that a home serves. */
@@ -249,8 +247,10 @@
       }
     }
     this.#fleetShare = fleetShare(roster, this.#options.bounds.rateOvershoot);
+    this.#knownHosts = roster.knownCount;
     for (const {home} of this.#homes.values()) {
       home.setFleetShare(this.#fleetShare);
+      home.setKnownHosts(this.#knownHosts);
     }
     this.#removeLostAttempts(nowMs);
     return this.#sweepQueues(nowMs);
@@ -372,7 +372,7 @@
     fields.waiting = home.admission.queue.size;
     fields.servers = home.serverCount;
     if (isRepeat) {
-      fields.retriesLeft = Math.round(home.retriesLeft(nowMs) * 10) / 10;
+      fields.retriesLeft = Math.round(home.retriesLeft * 10) / 10;
       fields.homeForMs = Math.round(nowMs - createdAtMs);
     }
     const messages: CoreMessage[] = [
@@ -659,6 +659,7 @@
       const siblings = scope === undefined ? undefined : new SiblingSummaries(scope);
       const home = new BackendHome({backendId, bounds, siblings});
       home.setFleetShare(this.#fleetShare);
+      home.setKnownHosts(this.#knownHosts);
       if (this.#document !== undefined) {
         home.setDocument(this.#document);
         home.admission.setCustomers(this.#document.customers);
--- a/packages/core/src/placement/requestForwarder.ts
+++ b/packages/core/src/placement/requestForwarder.ts
@@ -3,7 +3,7 @@
 import type {ElsewherePlacement, QueueDecision} from './placementDecision.ts';
 import type {QueueAdmission} from './queueAdmission.ts';
 import type {RecentOutcomes} from './recentOutcomes.ts';
-import type {RetryWindow} from './retryWindow.ts';
+import type {RetryTokenBucket} from './retryTokenBucket.ts';
 import {isNoServerUsable} from './riskAcceptance.ts';
 import type {RiskSurvey} from './riskSurvey.ts';
 import type {RouteDurations} from './routeDurations.ts';
@@ -19,7 +19,7 @@
   readonly survey: RiskSurvey;
   readonly recentOutcomes: RecentOutcomes;
   readonly hedging: BackendHedging;
-  readonly retries: RetryWindow;
+  readonly retries: RetryTokenBucket;
   readonly index: ServerIndex;
   readonly admission: QueueAdmission;
 }
@@ -88,7 +88,7 @@
       return undefined;
     }
     const expectedLocalWaitMs = Number.isFinite(localWaitMs) ? localWaitMs : undefined;
-    return this.#forward(query, {dataCentre, expectedWaitMs: expectedLocalWaitMs}, nowMs);
+    return this.#forward(query, {dataCentre, expectedWaitMs: expectedLocalWaitMs});
   }
 
   /**
@@ -107,7 +107,7 @@
     const dataCentre = this.#options.siblings?.chooseSafer(terms, nowMs);
     return dataCentre === undefined
       ? undefined
-      : this.#forward(query, {dataCentre, expectedWaitMs: 0, risk}, nowMs);
+      : this.#forward(query, {dataCentre, expectedWaitMs: 0, risk});
   }
 
   /** False for a query that was forwarded before, and for a hedged attempt, whose limits this home keeps. */
@@ -116,13 +116,9 @@
   }
 
   /** Forwards a query. Its retry is charged to this home, at which the request was counted. */
-  #forward(
-    {isRepeat}: PlaceAsk,
-    placement: Omit<ElsewherePlacement, 'state'>,
-    nowMs: number,
-  ): ElsewherePlacement {
+  #forward({isRepeat}: PlaceAsk, placement: Omit<ElsewherePlacement, 'state'>): ElsewherePlacement {
     if (isRepeat) {
-      this.#options.retries.recordRetry(nowMs);
+      this.#options.retries.recordRetry();
     }
     return {state: 'elsewhere', ...placement};
   }
