A request adds to the retry budget once, whatever the number of its queries

Cause: an attempt that reaches no server is no retry, so that the next query looked like a new request and added to the budget again; so did a query that moved to another home because the first was silent. With paths cut, each request earned several times. Class: a count keyed by messages in place of requests. Change: such queries state isCounted. Earlier code ignores the field. Evidence: 'counts a request once for the retry budget, whatever the number of its queries' and 'tells the next home that a silent one may have counted the request' fail without it.

--- a/packages/bench/src/__tests__/retryBudget.test.ts
+++ b/packages/bench/src/__tests__/retryBudget.test.ts
@@ -105,7 +105,6 @@
     'hosts that act as home are killed in turn': killHomes,
     'every host is cut off from all others': cutOff(hosts, 10_000, 8_000),
     'a third of the hosts are cut off': cutOff(hosts / 3, 10_000, 10_000),
-    // Guards against requests that add to the budget again with each attempt that reaches no server.
     'a third of the paths to servers refuse connections': refusePaths,
   };
   for (const [what, disturb] of Object.entries(cases)) {
--- a/packages/core/src/__tests__/placementEntryTask.test.ts
+++ b/packages/core/src/__tests__/placementEntryTask.test.ts
@@ -247,6 +247,16 @@
     expect(last[0]).to.include({type: 'serverRefused', requestId: 7});
   });
 
+  // Guards against requests that add to the retry budget of each home that they are sent to.
+  it('tells the next home that a silent one may have counted the request', () => {
+    const task = dividedTask();
+    const [[, first] = []] = sentTo(task.receive(wanted, 0));
+    expect(first).to.not.have.property('isCounted');
+    const later = sentTo(task.receive({type: 'timerFired', timerId: 'placement.asks'}, 130));
+    const queries = later.filter(([, {type}]) => type === 'placeAsk');
+    expect(queries.map(([, query]) => query)).to.have.nested.property('[0].isCounted', true);
+  });
+
   it('returns to its own home where the other one is silent, and sends it nothing for a while', () => {
     const task = dividedTask();
     task.receive(wanted, 0);
--- a/packages/core/src/__tests__/placementHomeTask.test.ts
+++ b/packages/core/src/__tests__/placementHomeTask.test.ts
@@ -2,8 +2,7 @@
 import {expect} from 'chai';
 import {DEFAULT_FLEET_BOUNDS} from '../fleet/fleetBounds.ts';
 import type {CoreMessage} from '../messages/coreMessage.ts';
-import type {PeerMessage, PlaceSummary} from '../messages/peerMessages.ts';
-import type {NoticeReport} from '../messages/serverNotice.ts';
+import type {PeerMessage, PlaceAskMessage, PlaceSummary} from '../messages/peerMessages.ts';
 import {PlacementHomeTask} from '../placement/placementHomeTask.ts';
 
 /** Servers of a divided backend, in turn in the two data centres. */
@@ -45,7 +44,7 @@
 /** Query of a host of the first data centre. */
 function query(
   askId: number,
-  fields: {isForwarded?: boolean; isRepeat?: boolean; notices?: NoticeReport[]} = {},
+  fields: Partial<Pick<PlaceAskMessage, 'isForwarded' | 'isRepeat' | 'isCounted' | 'notices'>> = {},
 ): CoreMessage {
   return from('home-1', {
     type: 'placeAsk',
@@ -170,6 +169,19 @@
     expect(states.filter((state) => state === 'refused')).to.have.length(40 - allowed);
   });
 
+  // Guards against requests that add to the budget with each attempt that reaches no server.
+  it('counts a request once for the retry budget, whatever the number of its queries', () => {
+    const task = homeTask();
+    for (let askId = 1; askId <= 10; askId += 1) {
+      task.receive(query(askId, {isCounted: askId > 5}), 0);
+    }
+    // A fifth of five requests.
+    const states = [11, 12].map((askId) =>
+      replyStates(task.receive(query(askId, {isRepeat: true}), 20)),
+    );
+    expect(states).to.deep.equal([['granted'], ['refused']]);
+  });
+
   it('sends no summary to a host that may run earlier code, but asks it for one', () => {
     const task = homeTask();
     task.receive(query(1), 0);
--- a/packages/core/src/messages/peerMessages.ts
+++ b/packages/core/src/messages/peerMessages.ts
@@ -442,6 +442,11 @@
   isRepeatable: z.boolean(),
   /** Whether this is a retry: the request was sent to another server before and may run again. Default: false. */
   isRepeat: z.boolean().optional(),
+  /**
+   * Whether a home may have counted the request already: an earlier attempt did not reach its server, or an earlier
+   * query got no reply. Default: false.
+   */
+  isCounted: z.boolean().optional(),
   /** Whether this is a hedged attempt, beside a running one. Default: false. */
   isHedge: z.boolean().optional(),
   /** Priority class, 0 for the most urgent. */
--- a/packages/core/src/messages/requestMessages.ts
+++ b/packages/core/src/messages/requestMessages.ts
@@ -241,6 +241,8 @@
   routeId: z.string().optional(),
   /** Whether this is a retry: the request was sent to another server before and may run again. */
   isRepeat: z.boolean().optional(),
+  /** Whether a home may have counted the request already, for an earlier query; absent for false. */
+  isCounted: z.boolean().optional(),
   /** Whether this is a hedged attempt, beside a running one; absent for false. */
   isHedge: z.boolean().optional(),
   /** Priority class of the request, 0 for the most urgent. */
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -291,7 +291,7 @@
     if (this.#exceedsRetryBudget(query)) {
       return this.#refuseRetry(query);
     }
-    if (!query.isRepeat && !isForwarded) {
+    if (!query.isRepeat && !isForwarded && query.isCounted !== true) {
       this.#retries.recordRequest(entryHost.hostId, nowMs);
       this.#explorationPolicy.recordRequest(query, nowMs);
     }
--- a/packages/core/src/placement/placementEntryTask.ts
+++ b/packages/core/src/placement/placementEntryTask.ts
@@ -351,6 +351,7 @@
       requestName: wanted.requestName ?? '',
       ...(scope === undefined ? {} : {scope}),
       ...(isShort && !isRepeat ? {} : {isRepeat}),
+      ...(wanted.isCounted === true ? {isCounted: true} : {}),
       ...(wanted.isHedge === true ? {isHedge: true} : {}),
       ...(isShort && avoidedIds.size === 0 ? {} : {avoidedIds: [...avoidedIds]}),
       ...(isShort && requestDigest === '' ? {} : {requestDigest}),
@@ -451,7 +452,7 @@
       const excludedServerIds = [...wanted.excludedServerIds, serverId];
       return [
         ...this.#releaseServer(query.homeId, reply),
-        ...this.#onServerWanted({...wanted, excludedServerIds}, nowMs),
+        ...this.#onServerWanted({...wanted, excludedServerIds, isCounted: true}, nowMs),
       ];
     }
     const {requestId, backendId, routeId = ''} = query.wanted;
@@ -653,9 +654,10 @@
     if (this.#isElsewhere(query) && query.scope !== undefined) {
       this.#silentScopesUntilMs.set(query.scope, nowMs + silentScopeMs);
     }
+    const wanted = {...query.wanted, isCounted: true};
     return query.isForwarded
-      ? this.#queryOwnHomeAgain(query.wanted, nowMs)
-      : this.#onServerWanted(query.wanted, nowMs);
+      ? this.#queryOwnHomeAgain(wanted, nowMs)
+      : this.#onServerWanted(wanted, nowMs);
   }
 
   /** Sends queries again whose home is gone. */
--- a/packages/core/src/request/requestTask.ts
+++ b/packages/core/src/request/requestTask.ts
@@ -321,6 +321,7 @@
       deadlineAtMs: request.deadlineAtMs,
       routeId: request.route.id,
       isRepeat: request.isNextAttemptRetry || runningServerIds.length > 0,
+      isCounted: request.attempt > 0 ? true : undefined,
       isHedge: runningServerIds.length > 0 ? true : undefined,
       priority: request.priority,
       requestDigest: request.requestDigest,
