Retries that wait are forwarded within the retry budget

Cause: a retry that waits for a server was checked when it began to wait and when it was placed, but not when a summary showed free slots at another home: all that waited left together. Change: the forwarder checks the budget as the queue does; what finds no room stays, and the queue refuses it. Evidence: 'forwards no more of the retries that wait than the budget allows': 20 forwarded with 4 allowed before, 4 after.

--- a/packages/core/src/__tests__/placementHomeTask.test.ts
+++ b/packages/core/src/__tests__/placementHomeTask.test.ts
@@ -182,6 +182,20 @@
     expect(states).to.deep.equal([['granted'], ['refused']]);
   });
 
+  // Guards against retries that are checked when they begin to wait, and all leave together.
+  it('forwards no more of the retries that wait than the budget allows', () => {
+    const task = homeTask();
+    fillSlots(task, 0);
+    for (let askId = 21; askId <= 40; askId += 1) {
+      expect(replyStates(task.receive(query(askId, {isRepeat: true}), 5))).to.deep.equal([
+        'waiting',
+      ]);
+    }
+    const free = summary({freeSlots: 100, usableSlots: 100});
+    const states = replyStates(task.receive(from('home-2', free), 10));
+    expect(states).to.deep.equal(['elsewhere', 'elsewhere', 'elsewhere', 'elsewhere']);
+  });
+
   it('sends no summary to a host that may run earlier code, but asks it for one', () => {
     const task = homeTask();
     task.receive(query(1), 0);
--- a/packages/core/src/placement/requestForwarder.ts
+++ b/packages/core/src/placement/requestForwarder.ts
@@ -110,9 +110,16 @@
       : this.#forward(query, {dataCentre, expectedWaitMs: 0, risk});
   }
 
-  /** False for a query that was forwarded before, and for a hedged attempt, whose limits this home keeps. */
-  #mayForward({isForwarded = false, isHedge = false, routeId}: PlaceAsk): boolean {
-    return !isForwarded && (!isHedge || this.#options.hedging.mayWait(routeId));
+  /**
+   * False for a query that was forwarded before, for a retry beyond the budget, and for a hedged attempt, whose limits
+   * this home keeps.
+   */
+  #mayForward({isForwarded = false, isRepeat, isHedge = false, routeId}: PlaceAsk): boolean {
+    return (
+      !isForwarded &&
+      (!isRepeat || this.#options.retries.hasRoom) &&
+      (!isHedge || this.#options.hedging.mayWait(routeId))
+    );
   }
 
   /** Forwards a query. Its retry is charged to this home, at which the request was counted. */
