One long request no longer takes a healthy server out of use

Cause: the estimate of a server's risk weighed each attempt alone. An attempt that reached its timeout voided all successes of its server and raised its risk to 0.9 for 4 to 5 s, although the server had answered what started after it, and although as many requests run as long on every server. Lost responses were taken for one in 80, whatever the backend's share was. Class: evidence without a base rate, and in the order of the ends in place of the starts. Change: SilenceEvidence weighs silent attempts against successes by the order of their starts. UsualFailures gives the shares of the servers that work, to which failures and timeouts are compared. A host avoids a server only after a silence that its own later attempts do not contradict. The thresholds of the floor did not change.

--- a/packages/bench/src/__tests__/dividedBackend.test.ts
+++ b/packages/bench/src/__tests__/dividedBackend.test.ts
@@ -207,6 +207,13 @@
   }
 });
 
+/**
+ * Shares of the requests that are not served between which the floor is checked. Operators require it from a tenth on; half
+ * of that leaves enough windows to check where few requests fail.
+ */
+const unservedFrom = 0.05;
+const unservedTo = 0.5;
+
 describe('the floor of a backend with several homes', () => {
   before(async () => {
     hash = await loadXxHash();
@@ -221,8 +228,8 @@
   const healthyForMs = 2_000;
 
   /**
-   * Number of windows in which less than the floor of the healthy servers got requests, among those in which a tenth
-   * to a half of the requests were not served. The first data centre gets most of the load, so that the homes of the
+   * Number of windows in which less than the floor of the healthy servers got requests, among those in which up to a
+   * half of the requests were not served. The first data centre gets most of the load, so that the homes of the
    * others see few failures themselves.
    */
   function countWindowsBelowFloor(seed: number): {below: number; relevant: number} {
@@ -251,7 +258,7 @@
       const sound = [...fleet.servers.keys()].filter((id) => samples.every(({ids}) => ids.has(id)));
       const sent = fleet.outcomes.filter(({arrivedAtMs}) => isInWindow(arrivedAtMs));
       const unserved = sent.filter(({status}) => status !== 200).length / sent.length;
-      if (unserved > 0.1 && unserved < 0.5) {
+      if (unserved > unservedFrom && unserved < unservedTo) {
         const used = sound.filter((id) => fleet.attemptTimesMs.get(id)?.some(isInWindow));
         relevant += 1;
         below += used.length / sound.length < floorShare ? 1 : 0;
@@ -342,7 +349,7 @@
           atMs >= fromMs && atMs < fromMs + floorWindowMs;
         const sent = fleet.outcomes.filter(({arrivedAtMs}) => isInWindow(arrivedAtMs));
         const unserved = sent.filter(({status}) => status !== 200).length / sent.length;
-        if (unserved <= 0.1 || unserved >= 0.5) {
+        if (unserved <= unservedFrom || unserved >= unservedTo) {
           continue;
         }
         relevant += 1;
--- a/packages/bench/src/__tests__/grayFailurePlacement.test.ts
+++ b/packages/bench/src/__tests__/grayFailurePlacement.test.ts
@@ -295,7 +295,7 @@
   it('keeps most of the healthy servers in use while a tenth to a half of the payments fail', () => {
     let below = 0;
     let relevant = 0;
-    for (const seed of [51, 52, 53, 54, 55, 56]) {
+    for (const seed of [51, 52, 53, 54, 55, 56, 57, 58, 59, 60]) {
       const windows = countWindowsBelowFloor(seed);
       below += windows.below;
       relevant += windows.relevant;
--- a/packages/core/src/placement/backendHome.ts
+++ b/packages/core/src/placement/backendHome.ts
@@ -41,6 +41,7 @@
 import {ServerRisk} from './serverRisk.ts';
 import type {RunningAttempt} from './serverRisk.ts';
 import {LowestRiskPolicy} from './lowestRiskPolicy.ts';
+import {UsualFailures} from './usualFailures.ts';
 import type {SiblingSummaries} from './siblingSummaries.ts';
 import {TrialPolicy} from './trialPolicy.ts';
 
@@ -117,6 +118,7 @@
   readonly #recentOutcomes = new RecentOutcomes();
   readonly #retries: RetryTokenBucket;
   readonly #suspectPaths = new SuspectPaths();
+  readonly #usualFailures = new UsualFailures();
   readonly #availability: ServerAvailability;
   readonly admission = new QueueAdmission();
   /** Servers in service that are not known to leave. */
@@ -220,6 +222,7 @@
     }
     this.#suspectPaths.retainServers(ownIds);
     this.#speeds.retainServers(ownIds);
+    this.#usualFailures.retainServers(ownIds);
     this.#availability.setServers(own, nowMs);
   }
 
@@ -647,6 +650,7 @@
     }
     if (outcome !== 'ok' || !this.#durations.isTrivial(ranForMs)) {
       this.#riskOf(serverId).recordOutcome(attempt, outcome, nowMs, this.#durations.shareAbove);
+      this.#usualFailures.record(serverId, outcome, nowMs);
     }
     if (outcome !== 'ok') {
       this.#calibration.recordFailure();
@@ -856,7 +860,11 @@
   #riskOf(serverId: string): ServerRisk {
     let serverRisk = this.#risks.get(serverId);
     if (serverRisk === undefined) {
-      serverRisk = new ServerRisk((nowMs) => this.#calibration.correction(nowMs));
+      serverRisk = new ServerRisk({
+        correction: (nowMs) => this.#calibration.correction(nowMs),
+        usualFailedShare: (nowMs) => this.#usualFailures.failedShare(nowMs),
+        usualSilentShare: (nowMs) => this.#usualFailures.silentShare(nowMs),
+      });
       this.#risks.set(serverId, serverRisk);
     }
     return serverRisk;
--- a/packages/core/src/placement/serverRisk.ts
+++ b/packages/core/src/placement/serverRisk.ts
@@ -1,4 +1,12 @@
 import type {AttemptOutcome} from '../messages/attemptOutcome.ts';
+import {
+  endedLogOdds,
+  faultyFailureShare,
+  runningLogOdds,
+  SilenceEvidence,
+  suspicionLeftBySuccess,
+} from './silenceEvidence.ts';
+import type {SilentAttempt} from './silenceEvidence.ts';
 
 /** An attempt that runs on a server. */
 export interface RunningAttempt {
@@ -21,14 +29,12 @@
 const successDecayMs = 10_000;
 /** Half-life of suspicion, in ms: a third of the typical duration of a fault. */
 const suspicionHalfLifeMs = 2_000;
-/** Most suspicion that one running attempt adds by its age, as log-odds. */
-const maxAgeSuspicion = 6;
-/** Share of the suspicion that remains after a success: faulty servers fail only now and then. */
-const suspicionLeftBySuccess = 0.3;
+/** Suspicion of one silent attempt from which its host avoids the server, as log-odds. */
+const avoidanceSuspicion = 2;
 /** Suspicion of one silent attempt from which earlier successes no longer count, as log-odds. */
-const successVoidingSuspicion = 2;
-/** Limit of each kind of suspicion, as log-odds. */
-const maxSuspicion = 6;
+const successVoidingSuspicion = 4;
+/** Limit of the suspicion that the server returns errors, as log-odds. */
+const maxErrorSuspicion = 6;
 /** Limit up to which shed requests alone raise the suspicion, as log-odds. */
 const maxShedSuspicion = 1.5;
 /**
@@ -51,8 +57,8 @@
 const recentStartsWindowMs = 2_000;
 
 /**
- * Suspicion that the outcome of an attempt adds, as log-odds: how much likelier the outcome is from a faulty
- * server than from a healthy one. A healthy server fails about one request in 80.
+ * Suspicion that the outcome of an attempt adds at most, as log-odds: how much likelier the outcome is from a faulty
+ * server than from a healthy one that fails one request in 80.
  */
 const suspicionByOutcome: Readonly<
   Record<Exclude<AttemptOutcome, 'timeout' | 'cancelled'>, number>
@@ -80,35 +86,46 @@
   return Math.log(probability / (1 - probability));
 }
 
+/** What a server's attempts are compared with. */
+export interface ServerRiskOptions {
+  /** Log-odds by which the estimates of all servers of the backend are too high. Default: none. */
+  readonly correction: (nowMs: number) => number;
+  /** Share of the attempts that fail on a server of the backend that works, 0 to 1. Default: one in 80. */
+  readonly usualFailedShare: (nowMs: number) => number;
+  /** Share of the attempts that reach their timeout on a server of the backend that works, 0 to 1. Default: none. */
+  readonly usualSilentShare: (nowMs: number) => number;
+}
+
+const DEFAULT_SERVER_RISK_OPTIONS: ServerRiskOptions = {
+  correction: () => 0,
+  usualFailedShare: () => 1 / 80,
+  usualSilentShare: () => 0,
+};
+
 /**
  * Estimates how likely the next attempt on one server fails. The estimate starts from the time since the last
  * success and adds suspicion: evidence against the server as log-odds, from outcomes and from attempts that
  * run unusually long.
  */
 export class ServerRisk {
-  readonly #correction: (nowMs: number) => number;
+  readonly #options: ServerRiskOptions;
   /** Attempts running on the server, by `hostId/askId`. */
   readonly #running = new Map<string, RunningAttempt>();
   #risk = 0;
   /** When `#risk` was computed, in ms; negative infinity once an attempt started or ended since. */
   #riskAtMs = Number.NEGATIVE_INFINITY;
   #lastSuccessStartMs = Number.NEGATIVE_INFINITY;
-  /**
-   * Suspicion that the server is silent, reduced by the success of any later attempt, and suspicion that it
-   * returns errors, reduced by any success; both as log-odds.
-   */
-  #silenceSuspicion = 0;
+  readonly #silence = new SilenceEvidence();
+  /** Suspicion that the server returns errors, reduced by any success, as log-odds. */
   #errorSuspicion = 0;
   #suspicionAtMs = 0;
-  #lastSilentStartMs = Number.NEGATIVE_INFINITY;
   readonly #startsMs: number[] = [];
   readonly #avoidedUntilMs = new Map<string, number>();
   /** When each host last failed to reach the server, in ms. */
   readonly #unreachableAtMs = new Map<string, number>();
 
-  /** `correction` gives the log-odds by which the estimates of all servers of the backend are too high. Default: none. */
-  constructor(correction: (nowMs: number) => number = () => 0) {
-    this.#correction = correction;
+  constructor(options: Partial<ServerRiskOptions> = {}) {
+    this.#options = {...DEFAULT_SERVER_RISK_OPTIONS, ...options};
   }
 
   /** Number of attempts running on the server. */
@@ -174,32 +191,41 @@
   ): void {
     this.#riskAtMs = Number.NEGATIVE_INFINITY;
     if (outcome === 'ok') {
-      this.#recordSuccess(attempt.startedAtMs, nowMs);
+      this.#recordSuccess(attempt, nowMs);
       return;
     }
-    const ageMs = nowMs - attempt.startedAtMs;
     // An attempt that ended before its typical duration says little about the server, whether the host or a
     // timeout ended it.
     const wasCutShort = outcome === 'cancelled' || outcome === 'timeout';
     let suspicion = wasCutShort
-      ? this.#ageSuspicion(attempt, ageMs, shareAbove)
-      : suspicionByOutcome[outcome];
+      ? endedLogOdds(this.#longerShare(attempt, shareAbove, nowMs))
+      : this.#outcomeSuspicion(outcome, nowMs);
     if (outcome === 'unreachable') {
       this.#unreachableAtMs.set(attempt.hostId, nowMs);
       suspicion = this.#isDown(nowMs) ? downSuspicion : suspicion;
     }
     if (silentOutcomes.has(outcome)) {
-      this.#recordSilence(attempt, suspicion, nowMs);
+      this.#recordSilence(attempt, suspicion, outcome === 'unreachable', nowMs);
       return;
     }
     this.#decay(nowMs);
     // A shed request did not run and may be sent elsewhere: sheds alone never raise the risk to the limit at
     // which a server counts as unusable.
     const limit =
-      outcome === 'shed' ? Math.max(this.#errorSuspicion, maxShedSuspicion) : maxSuspicion;
+      outcome === 'shed' ? Math.max(this.#errorSuspicion, maxShedSuspicion) : maxErrorSuspicion;
     this.#errorSuspicion = Math.min(limit, this.#errorSuspicion + suspicion);
   }
 
+  /** Suspicion that an outcome other than silence adds: less where servers that work fail often, too. */
+  #outcomeSuspicion(outcome: keyof typeof suspicionByOutcome, nowMs: number): number {
+    const suspicion = suspicionByOutcome[outcome];
+    if (outcome !== 'error' && outcome !== 'lost') {
+      return suspicion;
+    }
+    const ratio = faultyFailureShare / this.#options.usualFailedShare(nowMs);
+    return Math.min(suspicion, Math.max(0, Math.log(ratio)));
+  }
+
   /** True where at least two hosts recently could not reach the server and no later attempt succeeded. */
   #isDown(nowMs: number): boolean {
     const sinceMs = Math.max(this.#lastSuccessStartMs, nowMs - downWindowMs);
@@ -216,18 +242,32 @@
 
   /**
    * Silence counts against the network path of the host, which then avoids the server, and against the server
-   * until attempts that started later succeed.
+   * as far as no attempt that started later succeeded. Of the path only successes of the same host tell.
    */
-  #recordSilence({hostId, startedAtMs}: RunningAttempt, suspicion: number, nowMs: number): void {
-    if (suspicion >= suspicionByOutcome.unreachable) {
+  #recordSilence(
+    {hostId, startedAtMs}: RunningAttempt,
+    suspicion: number,
+    isUnreachable: boolean,
+    nowMs: number,
+  ): void {
+    const isPathSuspect =
+      suspicion >= avoidanceSuspicion && !this.#silence.hasSuccessSince(startedAtMs, hostId);
+    if (isUnreachable || isPathSuspect) {
       this.#avoidedUntilMs.set(hostId, nowMs + hostAvoidanceMs);
     }
-    this.#decay(nowMs);
-    this.#silenceSuspicion = Math.min(maxSuspicion, this.#silenceSuspicion + suspicion);
-    this.#lastSilentStartMs = Math.max(this.#lastSilentStartMs, startedAtMs);
-    if (suspicion >= successVoidingSuspicion) {
+    if (suspicion >= successVoidingSuspicion && this.#lastSuccessStartMs < startedAtMs) {
       this.#lastSuccessStartMs = Number.NEGATIVE_INFINITY;
     }
+    this.#silence.recordSilence({startedAtMs, logOdds: suspicion}, nowMs);
+    this.#silence.prune(this.#earliestRunningMs(), nowMs);
+  }
+
+  #earliestRunningMs(): number {
+    let earliestMs = Number.POSITIVE_INFINITY;
+    for (const {startedAtMs} of this.#running.values()) {
+      earliestMs = Math.min(earliestMs, startedAtMs);
+    }
+    return earliestMs;
   }
 
   /** True where the host recently could not reach the server or found it silent. */
@@ -238,7 +278,7 @@
   /** Estimated probability that an attempt that starts now fails, 0 to 1; at most 10 ms old. */
   risk(nowMs: number, shareAbove: ShareAbove): number {
     if (nowMs - this.#riskAtMs >= riskValidityMs) {
-      const logOdds = this.logOdds(nowMs, shareAbove) - this.#correction(nowMs);
+      const logOdds = this.logOdds(nowMs, shareAbove) - this.#options.correction(nowMs);
       this.#risk = 1 / (1 + Math.exp(-logOdds));
       this.#riskAtMs = nowMs;
     }
@@ -251,27 +291,42 @@
     const prior =
       recentSuccessRisk +
       (unknownRisk - recentSuccessRisk) * (1 - Math.exp(-sinceSuccessMs / successDecayMs));
-    let logOdds =
-      logit(prior) + (this.#silenceSuspicion + this.#errorSuspicion) * this.#decayFactor(nowMs);
+    const errorSuspicion = this.#errorSuspicion * this.#decayFactor(nowMs);
+    const silenceSuspicion = this.#silence.suspicion(this.#runningByAge(nowMs, shareAbove), nowMs);
+    return logit(prior) + errorSuspicion + silenceSuspicion;
+  }
+
+  /** The running attempts, the earliest first, with what their age says of the server. */
+  #runningByAge(nowMs: number, shareAbove: ShareAbove): SilentAttempt[] {
+    const running: SilentAttempt[] = [];
     for (const attempt of this.#running.values()) {
-      logOdds += this.#ageSuspicion(attempt, nowMs - attempt.startedAtMs, shareAbove);
+      const {startedAtMs} = attempt;
+      const logOdds = runningLogOdds(this.#longerShare(attempt, shareAbove, nowMs));
+      running.push({startedAtMs, logOdds});
     }
-    return logOdds;
+    return running.sort((one, other) => one.startedAtMs - other.startedAtMs);
+  }
+
+  /** Share of the attempts on servers that work which take longer than an attempt has run until now. */
+  #longerShare(
+    {routeId, startedAtMs}: RunningAttempt,
+    shareAbove: ShareAbove,
+    nowMs: number,
+  ): number {
+    const longerShare = shareAbove(routeId, Math.max(0, nowMs - startedAtMs));
+    return Math.max(longerShare, this.#options.usualSilentShare(nowMs));
   }
 
-  #recordSuccess(startedAtMs: number, nowMs: number): void {
+  #recordSuccess({hostId, startedAtMs}: RunningAttempt, nowMs: number): void {
     this.#lastSuccessStartMs = Math.max(this.#lastSuccessStartMs, startedAtMs);
     this.#decay(nowMs);
     this.#errorSuspicion *= suspicionLeftBySuccess;
-    if (startedAtMs >= this.#lastSilentStartMs) {
-      this.#silenceSuspicion *= suspicionLeftBySuccess;
-    }
+    this.#silence.recordSuccess({hostId, startedAtMs}, nowMs);
+    this.#silence.prune(this.#earliestRunningMs(), nowMs);
   }
 
   #decay(nowMs: number): void {
-    const factor = this.#decayFactor(nowMs);
-    this.#silenceSuspicion *= factor;
-    this.#errorSuspicion *= factor;
+    this.#errorSuspicion *= this.#decayFactor(nowMs);
     this.#suspicionAtMs = nowMs;
   }
 
@@ -279,11 +334,6 @@
     return 0.5 ** ((nowMs - this.#suspicionAtMs) / suspicionHalfLifeMs);
   }
 
-  /** Suspicion raised by an attempt that has run for a time without a response, as log-odds. */
-  #ageSuspicion({routeId}: RunningAttempt, ageMs: number, shareAbove: ShareAbove): number {
-    return Math.min(maxAgeSuspicion, -Math.log(shareAbove(routeId, Math.max(0, ageMs))));
-  }
-
   #startsSince(sinceMs: number): number {
     let count = 0;
     for (let index = this.#startsMs.length - 1; index >= 0; index -= 1) {
