The shares of usual failures stay numbers after hours without attempts

What callers would see: a backend without requests for some two hours, whose home lives on, gets estimates that are no number, so that no server compares as better than another. Cause: the weights of the attempts decay to zero, and the share divides zero by zero. Evidence: 'are not known after a long time without attempts' failed before (NaN) and passes.

--- a/packages/core/src/__tests__/silenceEvidence.test.ts
+++ b/packages/core/src/__tests__/silenceEvidence.test.ts
@@ -73,6 +73,15 @@
     expect(usual.silentShare(0)).to.equal(0);
   });
 
+  // Guards against shares that are no number once the weights of all attempts have decayed to zero.
+  it('are not known after a long time without attempts', () => {
+    const usual = new UsualFailures();
+    record(usual, {servers: ['a', 'b', 'c'], failed: 4, silent: 2});
+    const dayMs = 24 * 3_600_000;
+    expect(usual.failedShare(dayMs)).to.equal(1 / 80);
+    expect(usual.silentShare(dayMs)).to.equal(0);
+  });
+
   // Guards against failures with a common cause that make every server look unusable.
   it('make a failure weaker evidence against a server', () => {
     const riskAfterFailure = (share: number): number => {
--- a/packages/core/src/placement/usualFailures.ts
+++ b/packages/core/src/placement/usualFailures.ts
@@ -89,7 +89,7 @@
         ended += figures.ended;
       }
     }
-    return servers < minServers ? 0 : count / ended;
+    return servers < minServers || ended === 0 ? 0 : count / ended;
   }
 
   #decay(figures: ServerFigures, nowMs: number): void {
