--- a/packages/core/src/placement/serverRisk.ts
+++ b/packages/core/src/placement/serverRisk.ts
@@ -4,9 +4,11 @@
   faultyFailureShare,
   runningLogOdds,
   SilenceEvidence,
+  suspicionHalfLifeMs,
   suspicionLeftBySuccess,
 } from './silenceEvidence.ts';
 import type {SilentAttempt} from './silenceEvidence.ts';
+import {minFailedShare} from './usualFailures.ts';
 
 /** An attempt that runs on a server. */
 export interface RunningAttempt {
@@ -27,8 +29,6 @@
 const recentSuccessRisk = 0.003;
 /** Time constant with which a success loses its weight, in ms: servers turn faulty about every 12 s. */
 const successDecayMs = 10_000;
-/** Half-life of suspicion, in ms: a third of the typical duration of a fault. */
-const suspicionHalfLifeMs = 2_000;
 /** Suspicion of one silent attempt from which its host avoids the server, as log-odds. */
 const avoidanceSuspicion = 2;
 /** Suspicion of one silent attempt from which earlier successes no longer count, as log-odds. */
@@ -98,7 +98,7 @@
 
 const DEFAULT_SERVER_RISK_OPTIONS: ServerRiskOptions = {
   correction: () => 0,
-  usualFailedShare: () => 1 / 80,
+  usualFailedShare: () => minFailedShare,
   usualSilentShare: () => 0,
 };
 
--- a/packages/core/src/placement/silenceEvidence.ts
+++ b/packages/core/src/placement/silenceEvidence.ts
@@ -1,7 +1,7 @@
 /** Probability that an attempt on a faulty server fails, 0 to 1: such servers fail a part of their requests. */
 export const faultyFailureShare = 0.65;
-/** Half-life of the evidence of attempts that ended, in ms: a third of the typical duration of a fault. */
-const halfLifeMs = 2_000;
+/** Half-life of suspicion by attempts that ended, in ms: a third of the typical duration of a fault. */
+export const suspicionHalfLifeMs = 2_000;
 /** Evidence of an ended attempt below which it is dropped, as log-odds. */
 const negligibleLogOdds = 0.1;
 /** Share of the suspicion that remains after a success: faulty servers fail only now and then. */
@@ -74,14 +74,18 @@
 
   /** Suspicion that the server is silent, as log-odds from 0, with the attempts that run. */
   suspicion(running: readonly SilentAttempt[], nowMs: number): number {
-    let sum = 0;
+    let total = 0;
     let index = 0;
     for (const {startedAtMs, logOdds} of running) {
-      sum = this.#addUpTo(startedAtMs, sum, index, nowMs);
-      index = this.#countUpTo(startedAtMs);
-      sum = Math.min(maxSuspicion, sum + logOdds);
+      for (; (this.#entries[index]?.startedAtMs ?? startedAtMs) < startedAtMs; index += 1) {
+        total = this.#add(total, this.#entries[index], nowMs);
+      }
+      total = Math.min(maxSuspicion, total + logOdds);
+    }
+    for (; index < this.#entries.length; index += 1) {
+      total = this.#add(total, this.#entries[index], nowMs);
     }
-    return this.#addUpTo(Number.POSITIVE_INFINITY, sum, index, nowMs);
+    return total;
   }
 
   /** Drops what no longer counts: faded silence, and successes before the earliest silence or running attempt. */
@@ -95,30 +99,18 @@
     this.#entries.splice(0, this.#entries.length, ...counting);
   }
 
-  /** Adds the entries from an index on that started before a moment to a sum. */
-  #addUpTo(untilMs: number, sum: number, fromIndex: number, nowMs: number): number {
-    let total = sum;
-    for (let index = fromIndex; index < this.#entries.length; index += 1) {
-      const entry = this.#entries[index];
-      if (entry === undefined || entry.startedAtMs >= untilMs) {
-        break;
-      }
-      total =
-        entry.hostId === undefined
-          ? Math.min(maxSuspicion, total + this.#weighted(entry, nowMs))
-          : total * suspicionLeftBySuccess;
+  /** Suspicion after one more entry. */
+  #add(total: number, entry: Evidence | undefined, nowMs: number): number {
+    if (entry === undefined) {
+      return total;
     }
-    return total;
-  }
-
-  /** Number of entries that started before a moment. */
-  #countUpTo(untilMs: number): number {
-    const index = this.#entries.findIndex(({startedAtMs}) => startedAtMs >= untilMs);
-    return index < 0 ? this.#entries.length : index;
+    return entry.hostId === undefined
+      ? Math.min(maxSuspicion, total + this.#weighted(entry, nowMs))
+      : total * suspicionLeftBySuccess;
   }
 
   #weighted({logOdds, recordedAtMs}: Evidence, nowMs: number): number {
-    return logOdds * 0.5 ** ((nowMs - recordedAtMs) / halfLifeMs);
+    return logOdds * 0.5 ** ((nowMs - recordedAtMs) / suspicionHalfLifeMs);
   }
 
   /** Puts an entry at its place by start: nearly always the end, or just before it. */
--- a/packages/core/src/placement/usualFailures.ts
+++ b/packages/core/src/placement/usualFailures.ts
@@ -8,7 +8,7 @@
 /** Failed or silent share of a server from which on it counts as faulty, 0 to 1. */
 const faultyFromShare = 1 / 3;
 /** Failed share that is assumed of healthy servers at least, 0 to 1. */
-const minFailedShare = 1 / 80;
+export const minFailedShare = 1 / 80;
 /** Failed or silent attempts, with their weights, that a server may have beyond that share: few attempts say little. */
 const toleratedAttempts = 1;
 /** Time for which a share is used again, in ms. */
